--- /dev/null
+++ b/packages/base/src/common/checkedJson.ts
@@ -0,0 +1,42 @@
+import { z } from 'zod';
+import { HickoryhoistError } from './errors.js';
+
+/** Raised when a JSON document is damaged or breaks its schema. The message names source, path and rule. */
+export class InvalidDocumentError extends HickoryhoistError {
+  readonly code = 'invalid-document';
+  readonly source: string;
+  readonly problems: readonly string[];
+
+  constructor(source: string, problems: readonly string[]) {
+    super(problems.map((problem) => `${source}: ${problem}`).join('\n'));
+    this.source = source;
+    this.problems = problems;
+  }
+}
+
+/** Checks a parsed value against a schema. @throws InvalidDocumentError naming every problem. */
+export function checkDocument<S extends z.ZodType>(source: string, schema: S, value: unknown): z.output<S> {
+  const result = schema.safeParse(value);
+  if (result.success) {
+    return result.data;
+  }
+  throw new InvalidDocumentError(
+    source,
+    result.error.issues.map((issue) => `at ${formatPath(issue.path)}: ${issue.message}`),
+  );
+}
+
+/** Parses and checks JSON text. @throws InvalidDocumentError when the text is no JSON or breaks the schema. */
+export function parseDocument<S extends z.ZodType>(source: string, schema: S, text: string): z.output<S> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    throw new InvalidDocumentError(source, [`not valid JSON: ${(error as Error).message}`]);
+  }
+  return checkDocument(source, schema, value);
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path.length === 0 ? 'the top level' : path.map(String).join('.');
+}
--- /dev/null
+++ b/packages/base/src/common/errors.ts
@@ -0,0 +1,34 @@
+/** Root of every failure that this project raises. `code` is stable and safe to test against. */
+export abstract class HickoryhoistError extends Error {
+  abstract readonly code: string;
+
+  constructor(message: string, options?: ErrorOptions) {
+    super(message, options);
+    this.name = new.target.name;
+  }
+}
+
+/** Raised when an operation did not finish within its time limit. */
+export class TimeoutError extends HickoryhoistError {
+  readonly code = 'timeout';
+}
+
+/** Raised when an operation was stopped through its `AbortSignal`. */
+export class CancellationError extends HickoryhoistError {
+  readonly code = 'cancelled';
+}
+
+/** Raised when the program reaches a state that its own rules exclude. */
+export class InvariantError extends HickoryhoistError {
+  readonly code = 'invariant';
+}
+
+/** Returns the message of any thrown value. */
+export function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+/** Makes a switch over a union exhaustive: a new member fails the type check here. */
+export function assertNever(value: never): never {
+  throw new InvariantError(`unexpected value ${JSON.stringify(value)}`);
+}
--- /dev/null
+++ b/packages/base/src/common/logger.ts
@@ -0,0 +1,25 @@
+/** Severity of a log event. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** Values that fit on one line of key=value pairs. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes one line of key=value pairs for each event. */
+export interface Logger {
+  log(level: LogLevel, event: string, fields?: LogFields): void;
+}
+
+/** Discards every event. */
+export const silentLogger: Logger = { log: () => undefined };
+
+/** Formats an event as key=value pairs; values with spaces or quotes are written as JSON strings. */
+export function formatLogLine(event: string, fields: LogFields): string {
+  const all: LogFields = { event, ...fields };
+  const pairs = Object.entries(all).filter(([, value]) => value !== undefined);
+  return pairs.map(([key, value]) => `${key}=${formatValue(value)}`).join(' ');
+}
+
+function formatValue(value: string | number | boolean | undefined): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/base/src/node/keyValueLogger.ts
@@ -0,0 +1,24 @@
+import loglevel from 'loglevel';
+import { type LogFields, type Logger, type LogLevel, formatLogLine } from '../common/logger.js';
+
+/** Logger over loglevel. Every line starts with the time in ISO 8601 and names the component. */
+export class KeyValueLogger implements Logger {
+  readonly #backend: loglevel.Logger;
+  readonly #component: string;
+
+  constructor(component: string, level: LogLevel) {
+    this.#component = component;
+    this.#backend = loglevel.getLogger(component);
+    this.#backend.methodFactory =
+      () =>
+      (...parts: unknown[]) => {
+        process.stderr.write(`${parts.map(String).join(' ')}\n`);
+      };
+    this.#backend.setLevel(level, false);
+  }
+
+  log(level: LogLevel, event: string, fields: LogFields = {}): void {
+    const line = formatLogLine(event, { level, component: this.#component, ...fields });
+    this.#backend[level](`time=${new Date().toISOString()} ${line}`);
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/common/configurationStore.ts
@@ -0,0 +1,120 @@
+import { randomUUID } from 'node:crypto';
+import { z } from 'zod';
+import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
+import { HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
+import type { Platform } from '@hickoryhoist/platform/common/platform.js';
+import { PlatformUnavailableError } from '@hickoryhoist/platform/common/tableService.js';
+import {
+  type ConfigurationSnapshot,
+  parseSnapshot,
+  type RevisedConfiguration,
+} from './configurationSnapshot.js';
+
+const CONFIGURATION_ROW = 'configuration';
+
+const configurationRowSchema = z.object({
+  /** Revision of the configuration; counts accepted publications. */
+  revision: z.number().int(),
+  objectName: z.string(),
+  publicationId: z.string(),
+  operator: z.string(),
+  /** Publications that led here, newest first, so that a lost answer can be resolved by reading. */
+  recentPublications: z.array(z.object({ id: z.string(), revision: z.number().int() })),
+});
+
+type ConfigurationRow = z.output<typeof configurationRowSchema>;
+
+const RECENT_PUBLICATION_COUNT = 64;
+
+/** Newest accepted row with its version in the table. */
+export interface ConfigurationHead {
+  readonly rowVersion: number;
+  readonly row: ConfigurationRow | undefined;
+}
+
+/** Outcome of one attempt to accept a snapshot. */
+export type AcceptResult =
+  | { readonly kind: 'accepted'; readonly revision: number }
+  | { readonly kind: 'conflict'; readonly operator: string };
+
+/** The object that the newest row names is missing: the object store lost it or lags. */
+export class MissingSnapshotError extends HickoryhoistError {
+  readonly code = 'missing-snapshot';
+}
+
+/** Reads and advances the configuration in the platform's table service and object store. */
+export class ConfigurationStore {
+  readonly #platform: Platform;
+
+  constructor(platform: Platform) {
+    this.#platform = platform;
+  }
+
+  /** @throws PlatformUnavailableError, InvalidDocumentError */
+  async readHead(): Promise<ConfigurationHead> {
+    const row = await this.#platform.table.read(CONFIGURATION_ROW);
+    return {
+      rowVersion: row.version,
+      row:
+        row.version === 0 ? undefined : parseDocument(CONFIGURATION_ROW, configurationRowSchema, row.value),
+    };
+  }
+
+  /** @returns undefined when nothing was published yet. @throws PlatformUnavailableError, MissingSnapshotError */
+  async readNewest(): Promise<RevisedConfiguration | undefined> {
+    const head = await this.readHead();
+    return head.row === undefined ? undefined : this.readSnapshot(head.row);
+  }
+
+  /** @throws PlatformUnavailableError, MissingSnapshotError, InvalidDocumentError */
+  async readSnapshot(row: ConfigurationRow): Promise<RevisedConfiguration> {
+    const content = await this.#platform.objects.get(row.objectName);
+    if (content === undefined) {
+      throw new MissingSnapshotError(`object ${row.objectName} does not exist`);
+    }
+    return { revision: row.revision, snapshot: parseSnapshot(row.objectName, JSON.parse(content)) };
+  }
+
+  /**
+   * Accepts a snapshot on top of `head` unless another publication came first. A lost answer is resolved by
+   * reading; the same publication is never accepted twice.
+   * @throws PlatformUnavailableError when the outcome cannot be learned; the publication may stand.
+   */
+  async accept(
+    head: ConfigurationHead,
+    snapshot: ConfigurationSnapshot,
+    operator: string,
+    publicationId: string = randomUUID(),
+  ): Promise<AcceptResult> {
+    const revision = (head.row?.revision ?? 0) + 1;
+    const objectName = `configuration/${publicationId}`;
+    await this.#platform.objects.put(objectName, JSON.stringify(snapshot));
+    const recentPublications = [
+      { id: publicationId, revision },
+      ...(head.row?.recentPublications ?? []),
+    ].slice(0, RECENT_PUBLICATION_COUNT);
+    const row: ConfigurationRow = { revision, objectName, publicationId, operator, recentPublications };
+    try {
+      const result = await this.#platform.table.transact([
+        { kind: 'put', key: CONFIGURATION_ROW, expectedVersion: head.rowVersion, value: JSON.stringify(row) },
+      ]);
+      if (result.kind === 'committed') {
+        return { kind: 'accepted', revision };
+      }
+    } catch (error) {
+      if (!(error instanceof PlatformUnavailableError && error.mayHaveApplied)) {
+        throw error;
+      }
+    }
+    return this.#resolve(publicationId);
+  }
+
+  async #resolve(publicationId: string): Promise<AcceptResult> {
+    const { row } = await this.readHead();
+    const publication = row?.recentPublications.find(({ id }) => id === publicationId);
+    if (publication !== undefined) {
+      return { kind: 'accepted', revision: publication.revision };
+    }
+    return { kind: 'conflict', operator: row?.operator ?? 'nobody' };
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/common/publisher.ts
@@ -0,0 +1,112 @@
+import { randomUUID } from 'node:crypto';
+import { HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
+import { buildSnapshot, type ConfigurationSnapshot } from './configurationSnapshot.js';
+import type { ConfigurationStore } from './configurationStore.js';
+import type { ServiceFile } from './serviceFile.js';
+
+const MAXIMUM_REBASES = 10;
+
+/** A change of one service, relative to the content that the operator last saw. */
+export interface ServiceChange {
+  readonly name: string;
+  readonly before: ServiceFile | undefined;
+  readonly after: ServiceFile | undefined;
+}
+
+/** What an operator asks to publish. */
+export interface Publication {
+  readonly operator: string;
+  readonly changes: readonly ServiceChange[];
+}
+
+/** Another operator changed the same services first. Nothing of the publication was accepted. */
+export class PublicationConflictError extends HickoryhoistError {
+  readonly code = 'publication-conflict';
+  readonly services: readonly string[];
+  readonly operator: string;
+
+  constructor(services: readonly string[], operator: string) {
+    super(
+      `${services.join(', ')} changed meanwhile, last by ${operator}; read the newest files and publish again`,
+    );
+    this.services = services;
+    this.operator = operator;
+  }
+}
+
+/** Publishes changes: disjoint ones are rebased, colliding ones are refused. */
+export class Publisher {
+  readonly #store: ConfigurationStore;
+
+  constructor(store: ConfigurationStore) {
+    this.#store = store;
+  }
+
+  /**
+   * @returns the revision under which the changes are accepted and durable.
+   * @throws PublicationConflictError, InvalidDocumentError, PlatformUnavailableError
+   */
+  async publish(publication: Publication, publicationId: string = randomUUID()): Promise<number> {
+    let lastOperator = 'nobody';
+    for (let attempt = 0; attempt < MAXIMUM_REBASES; attempt += 1) {
+      const head = await this.#store.readHead();
+      const earlier = head.row?.recentPublications.find(({ id }) => id === publicationId);
+      if (earlier !== undefined) {
+        return earlier.revision;
+      }
+      const current = head.row === undefined ? undefined : await this.#store.readSnapshot(head.row);
+      const snapshot = applyChanges(current?.snapshot, publication.changes, head.row?.operator ?? 'nobody');
+      const result = await this.#store.accept(head, snapshot, publication.operator, publicationId);
+      switch (result.kind) {
+        case 'accepted':
+          return result.revision;
+        case 'conflict':
+          lastOperator = result.operator;
+      }
+    }
+    throw new PublicationConflictError(
+      publication.changes.map(({ name }) => name),
+      lastOperator,
+    );
+  }
+}
+
+/** Computes the changes that turn the current snapshot into the given set of files. */
+export function changesTowards(
+  current: ConfigurationSnapshot | undefined,
+  wanted: readonly ServiceFile[],
+): readonly ServiceChange[] {
+  const before = new Map(current?.services.map((service) => [service.name, service]));
+  const after = new Map(wanted.map((service) => [service.name, service]));
+  const names = [...new Set([...before.keys(), ...after.keys()])];
+  return names
+    .map((name) => ({ name, before: before.get(name), after: after.get(name) }))
+    .filter((change) => !isSameContent(change.before, change.after));
+}
+
+function applyChanges(
+  current: ConfigurationSnapshot | undefined,
+  changes: readonly ServiceChange[],
+  operator: string,
+): ConfigurationSnapshot {
+  const services = new Map(current?.services.map((service) => [service.name, service]));
+  const collisions = changes.filter(({ name, before }) => !isSameContent(services.get(name), before));
+  if (collisions.length > 0) {
+    throw new PublicationConflictError(
+      collisions.map(({ name }) => name),
+      operator,
+    );
+  }
+  for (const { name, after } of changes) {
+    if (after === undefined) {
+      services.delete(name);
+    } else {
+      services.set(name, after);
+    }
+  }
+  return buildSnapshot([...services.values()]);
+}
+
+function isSameContent(left: ServiceFile | undefined, right: ServiceFile | undefined): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
+}
--- /dev/null
+++ b/packages/daemon/src/node/assignmentRouting.ts
@@ -0,0 +1,26 @@
+import type { ServiceFile } from '@hickoryhoist/configuration/common/serviceFile.js';
+import type { RoutingState } from '@hickoryhoist/gateway/common/knownServers.js';
+import type { EntryVmControl } from '@hickoryhoist/ownership/common/entryVmControl.js';
+import type { Assignment, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
+
+/** Routing by the assignments that the control tasks follow. */
+export class AssignmentRouting implements RoutingState {
+  readonly #control: EntryVmControl;
+
+  constructor(control: EntryVmControl) {
+    this.#control = control;
+  }
+
+  assignment(group: string): Assignment | undefined {
+    return this.#control.assignment(group);
+  }
+
+  pooledServers(service: ServiceFile): readonly string[] {
+    const servers = this.#control.assignment(service.name)?.servers ?? [];
+    return servers.filter(({ phase }) => phase === 'serving').map(({ address }) => address);
+  }
+
+  mayRoute(_group: string, server: ServerRecord): boolean {
+    return server.fenceSupport === 'checked';
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node/commands/drainCommand.ts
@@ -0,0 +1,37 @@
+import { command, flag, option, string } from 'cmd-ts';
+import { HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
+import { DrainStore } from '@hickoryhoist/ownership/common/drainStore.js';
+import { HttpPlatform } from '@hickoryhoist/platform/node/httpPlatform.js';
+import { jsonFlag, platformOption, printResult } from './sharedArguments.js';
+
+/** Other operators changed the list of drained servers faster than this command could. */
+class DrainContentionError extends HickoryhoistError {
+  readonly code = 'drain-contention';
+}
+
+/** Takes a server out of service, or back in. */
+export const drainCommand = command({
+  name: 'drain',
+  description: 'Move all keys away from a server and send it no new work; --undo takes it back in',
+  args: {
+    platform: platformOption,
+    server: option({ type: string, long: 'server', description: 'host:port of the server' }),
+    undo: flag({ long: 'undo', description: 'take the server back into service' }),
+    json: jsonFlag,
+  },
+  handler: async ({ platform: address, server, undo, json }) => {
+    const platform = new HttpPlatform(address);
+    try {
+      if (!(await new DrainStore(platform.table).set(server, !undo))) {
+        throw new DrainContentionError(`the drain of ${server} was not recorded; try again`);
+      }
+      printResult(
+        json,
+        { server, isDrained: !undo },
+        `${server} ${undo ? 'is back in service' : 'is draining'}`,
+      );
+    } finally {
+      platform.dispose();
+    }
+  },
+});
--- /dev/null
+++ b/packages/daemon/src/node/commands/serveCommand.ts
@@ -0,0 +1,33 @@
+import { readFile } from 'node:fs/promises';
+import { command, option, string } from 'cmd-ts';
+import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
+import { describeError } from '@hickoryhoist/base/common/errors.js';
+import { KeyValueLogger } from '@hickoryhoist/base/node/keyValueLogger.js';
+import { HttpPlatform } from '@hickoryhoist/platform/node/httpPlatform.js';
+import { entryVmSettingsSchema } from '../../common/entryVmSettings.js';
+import { EntryVmProcess } from '../entryVmProcess.js';
+
+/** Runs the entry VM daemon until it is told to stop. */
+export const serveCommand = command({
+  name: 'serve',
+  description: 'Run the daemon of an entry VM; SIGTERM or SIGINT stops it gracefully',
+  args: {
+    settings: option({ type: string, long: 'settings', description: 'path of the settings file' }),
+  },
+  handler: async ({ settings: path }) => {
+    const settings = parseDocument(path, entryVmSettingsSchema, await readFile(path, 'utf8'));
+    const logger = new KeyValueLogger('entry-vm', settings.logLevel);
+    process.on('unhandledRejection', (error) => {
+      logger.log('error', 'unhandled-rejection', { error: describeError(error) });
+    });
+    const platform = new HttpPlatform(settings.platformAddress);
+    const entryVm = await EntryVmProcess.start(settings, platform, logger);
+    const stop = (): void => {
+      void entryVm.stop().finally(() => {
+        platform.dispose();
+      });
+    };
+    process.once('SIGTERM', stop);
+    process.once('SIGINT', stop);
+  },
+});
--- /dev/null
+++ b/packages/daemon/src/node/entryVmProcess.ts
@@ -0,0 +1,186 @@
+import { randomInt, randomUUID } from 'node:crypto';
+import { Agent } from 'undici';
+import { delay } from '@hickoryhoist/base/common/asynchronous.js';
+import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
+import { HomeGateway } from '@hickoryhoist/gateway/common/homeGateway.js';
+import { IdempotencyLedger } from '@hickoryhoist/gateway/common/idempotencyLedger.js';
+import type { GatewayRequest } from '@hickoryhoist/gateway/common/gatewayRequest.js';
+import type { Outcome } from '@hickoryhoist/gateway/common/outcome.js';
+import { RequestExecutor } from '@hickoryhoist/gateway/common/requestExecutor.js';
+import { ServerDirectory } from '@hickoryhoist/gateway/common/serverDirectory.js';
+import { ServiceMetrics } from '@hickoryhoist/gateway/common/serviceMetrics.js';
+import { ConnectionPool } from '@hickoryhoist/gateway/node/connectionPool.js';
+import { GatewayServer } from '@hickoryhoist/gateway/node/gatewayServer.js';
+import { ENTRY_VM_GROUP, EntryVmControl } from '@hickoryhoist/ownership/common/entryVmControl.js';
+import { GrpcControlServer } from '@hickoryhoist/ownership/node/grpcControlServer.js';
+import { GrpcPeerClient } from '@hickoryhoist/ownership/node/grpcPeerClient.js';
+import { HttpServerClient } from '@hickoryhoist/ownership/node/httpServerClient.js';
+import type { Platform } from '@hickoryhoist/platform/common/platform.js';
+import type { EntryVm } from '@hickoryhoist/protocol/common/assignment.js';
+import { type EntryVmSettings, splitAddress } from '../common/entryVmSettings.js';
+import { AssignmentRouting } from './assignmentRouting.js';
+import { OperatorServer } from './operatorServer.js';
+import { interceptPeerMessage } from './peerMessages.js';
+import { StatusReader } from './statusReader.js';
+
+const LARGEST_SEED = 0x7fffffff;
+const STOP_POLL_MILLISECONDS = 50;
+const IDLE_ORDER_CONNECTION_MILLISECONDS = 30_000;
+
+/** An entry VM: the gateway, its control tasks and its ports, put together. */
+export class EntryVmProcess extends DisposableBase {
+  readonly #settings: EntryVmSettings;
+  readonly #logger: Logger;
+  readonly #control: EntryVmControl;
+  readonly #callers: GatewayServer;
+  readonly #peers: GatewayServer;
+  readonly #operator: OperatorServer;
+  readonly #controlServer: GrpcControlServer;
+  #isStopping = false;
+
+  private constructor(settings: EntryVmSettings, platform: Platform, hasher: KeyHasher, logger: Logger) {
+    super();
+    this.#settings = settings;
+    this.#logger = logger;
+    const random = new RandomSource(randomInt(LARGEST_SEED));
+    const directory = new ServerDirectory(random);
+    const agent = new Agent({ keepAliveTimeout: IDLE_ORDER_CONNECTION_MILLISECONDS });
+    this.register(toDisposable(() => void agent.destroy()));
+    this.#control = this.register(
+      new EntryVmControl({
+        self: describeSelf(settings),
+        platform,
+        peers: this.register(new GrpcPeerClient()),
+        servers: new HttpServerClient(agent),
+        hasher,
+        random,
+        logger,
+        seedAddresses: settings.seedControlAddresses,
+        loadReport: (group) => directory.loadReport(group),
+      }),
+    );
+    this.#controlServer = this.register(new GrpcControlServer(this.#control));
+    const routing = new AssignmentRouting(this.#control);
+    const transport = this.register(new ConnectionPool());
+    const executor = new RequestExecutor(hasher, routing, transport, directory, logger);
+    const home = new HomeGateway({
+      requestAddress: settings.requestAddress,
+      hasher,
+      routing,
+      holder: this.#control.holder,
+      ledger: new IdempotencyLedger(),
+      executor,
+      transport,
+    });
+    const metrics = new ServiceMetrics();
+    const configuration = () => this.#control.configuration.current;
+    const execute = (request: GatewayRequest): Promise<Outcome> =>
+      request.isIdempotent || request.idempotencyKey === undefined
+        ? executor.execute(request)
+        : home.execute(request, request.idempotencyKey);
+    this.#callers = this.register(
+      new GatewayServer({
+        configuration,
+        execute,
+        record: (request, outcome, elapsed) => {
+          metrics.record(request.service, outcome, elapsed);
+        },
+        logger,
+      }),
+    );
+    this.#peers = this.register(
+      new GatewayServer({
+        configuration,
+        execute: (request) => {
+          const idempotencyKey = request.idempotencyKey ?? '';
+          return home.executeAtHome(request, idempotencyKey, hasher.hash(idempotencyKey));
+        },
+        intercept: (message, response) => interceptPeerMessage(this.#control.holder, message, response),
+        record: () => undefined,
+        logger,
+      }),
+    );
+    const status = new StatusReader(settings, this.#control, metrics, () => ({
+      isReady: this.isReady,
+      inFlight: this.#callers.inFlight,
+    }));
+    this.#operator = this.register(new OperatorServer(status, this.#control));
+  }
+
+  /** Opens all ports of an entry VM. @throws GatewayListenError, ControlListenError */
+  static async start(settings: EntryVmSettings, platform: Platform, logger: Logger): Promise<EntryVmProcess> {
+    const entryVm = new EntryVmProcess(settings, platform, await KeyHasher.create(), logger);
+    await entryVm.#listen();
+    return entryVm;
+  }
+
+  /** Whether the platform's balancer should send callers here. */
+  get isReady(): boolean {
+    const hasConfiguration = this.#control.configuration.current !== undefined;
+    return hasConfiguration && !this.#isStopping && this.#control.assignment(ENTRY_VM_GROUP) !== undefined;
+  }
+
+  /** Planned stop: gives up keys and duties, answers every request in flight, and closes the ports. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) {
+      return;
+    }
+    this.#isStopping = true;
+    this.#logger.log('info', 'stop-begun', { id: this.#settings.id, inFlight: this.#callers.inFlight });
+    this.#control.leave();
+    await this.#waitUntilReplaced();
+    await this.#callers.stop();
+    await this.#peers.stop();
+    this.dispose();
+    this.#logger.log('info', 'stopped', { id: this.#settings.id });
+  }
+
+  async #listen(): Promise<void> {
+    const { callerAddress, requestAddress, controlAddress, operatorAddress, id } = this.#settings;
+    await this.#controlServer.listen(controlAddress);
+    await listenOn(this.#peers, requestAddress);
+    await listenOn(this.#operator, operatorAddress);
+    await listenOn(this.#callers, callerAddress);
+    this.#logger.log('info', 'listening', {
+      id,
+      callerAddress,
+      requestAddress,
+      controlAddress,
+      operatorAddress,
+    });
+  }
+
+  async #waitUntilReplaced(): Promise<void> {
+    const giveUpAt = performance.now() + this.#settings.stopGraceMilliseconds;
+    while (performance.now() < giveUpAt && this.#isStillNeeded()) {
+      await delay(STOP_POLL_MILLISECONDS);
+    }
+  }
+
+  #isStillNeeded(): boolean {
+    const assignment = this.#control.assignment(ENTRY_VM_GROUP);
+    const self = assignment?.servers.find(({ address }) => address === this.#settings.requestAddress);
+    const isAlone = (assignment?.servers.filter(({ phase }) => phase === 'serving').length ?? 0) === 0;
+    const ownsKeys = assignment?.owners.some((owner) => owner === self?.number) ?? false;
+    const isRenewing = this.#control.groups.some(
+      ({ follower }) => this.#control.renewer.report(follower.group).length > 0,
+    );
+    return !isAlone && (ownsKeys || isRenewing);
+  }
+}
+
+function describeSelf(settings: EntryVmSettings): EntryVm {
+  const { id, availabilityZone, controlAddress, requestAddress } = settings;
+  return { id, incarnation: randomUUID(), availabilityZone, controlAddress, requestAddress };
+}
+
+async function listenOn(
+  server: { listen(host: string, port: number): Promise<number> },
+  address: string,
+): Promise<void> {
+  const { host, port } = splitAddress(address);
+  await server.listen(host, port);
+}
--- /dev/null
+++ b/packages/gateway/src/common/homeGateway.ts
@@ -0,0 +1,144 @@
+import { delay } from '@hickoryhoist/base/common/asynchronous.js';
+import type { KeyHash, KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import {
+  findServer,
+  ownerOfUnit,
+  type ServerRecord,
+  unitOfKey,
+} from '@hickoryhoist/protocol/common/assignment.js';
+import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
+import { ENTRY_VM_GROUP } from '@hickoryhoist/ownership/common/entryVmControl.js';
+import type { OwnershipHolder } from '@hickoryhoist/ownership/common/ownershipHolder.js';
+import { type GatewayRequest, remainingMilliseconds } from './gatewayRequest.js';
+import type { IdempotencyLedger } from './idempotencyLedger.js';
+import type { RoutingState } from './knownServers.js';
+import {
+  type AnswerHeaders,
+  notRunForNow,
+  type Outcome,
+  type NotRunReason,
+  type UnknownReason,
+} from './outcome.js';
+import type { RequestExecutor } from './requestExecutor.js';
+import type { AttemptResult, ServerTransport } from './serverTransport.js';
+
+const HAND_OVER_PAUSE_MILLISECONDS = 20;
+
+/** What a home gateway needs from its surroundings. */
+export interface HomeGatewayOptions {
+  readonly requestAddress: string;
+  readonly hasher: KeyHasher;
+  readonly routing: RoutingState;
+  readonly holder: OwnershipHolder;
+  readonly ledger: IdempotencyLedger;
+  readonly executor: RequestExecutor;
+  readonly transport: ServerTransport;
+}
+
+/**
+ * Brings all uses of an idempotency key together at the entry VM that owns the key. A resend of the same key
+ * is answered from that entry VM's ledger, wherever it enters.
+ */
+export class HomeGateway {
+  readonly #options: HomeGatewayOptions;
+
+  constructor(options: HomeGatewayOptions) {
+    this.#options = options;
+  }
+
+  /** Runs a request that carries an idempotency key, here or at the key's home. */
+  async execute(request: GatewayRequest, idempotencyKey: string): Promise<Outcome> {
+    const keyHash = this.#options.hasher.hash(idempotencyKey);
+    let last: Outcome = notRunForNow('not-ready');
+    while (remainingMilliseconds(request) > 0) {
+      if (this.#options.holder.owns(keyHash)) {
+        return this.executeAtHome(request, idempotencyKey, keyHash);
+      }
+      const home = this.#home(keyHash);
+      if (home !== undefined && home.address !== this.#options.requestAddress) {
+        const attempt = await this.#handOver(request, home, keyHash);
+        const outcome = outcomeOfHandOver(attempt);
+        if (outcome !== undefined) {
+          return outcome;
+        }
+        last = attempt.kind === 'lost' ? { kind: 'unknown', reason: 'entry-vm-lost' } : last;
+      }
+      await delay(HAND_OVER_PAUSE_MILLISECONDS);
+    }
+    return last;
+  }
+
+  /** Runs a request under the ledger of this process, which must own the key. */
+  async executeAtHome(request: GatewayRequest, idempotencyKey: string, keyHash: KeyHash): Promise<Outcome> {
+    const { holder, ledger, executor } = this.#options;
+    const tracking = holder.track(keyHash);
+    try {
+      return await ledger.run({ ...request, idempotencyKey }, holder.heldSince(keyHash), () =>
+        executor.execute(request, () => holder.owns(keyHash)),
+      );
+    } finally {
+      tracking.dispose();
+    }
+  }
+
+  #home(keyHash: KeyHash): ServerRecord | undefined {
+    const assignment = this.#options.routing.assignment(ENTRY_VM_GROUP);
+    return assignment === undefined
+      ? undefined
+      : findServer(assignment, ownerOfUnit(assignment, unitOfKey(assignment, keyHash)));
+  }
+
+  #handOver(request: GatewayRequest, home: ServerRecord, keyHash: KeyHash): Promise<AttemptResult> {
+    const timeoutMilliseconds = Math.max(1, Math.floor(remainingMilliseconds(request)));
+    const headers: Record<string, string | string[]> = {};
+    for (const [name, value] of Object.entries(request.headers)) {
+      headers[name] = typeof value === 'string' ? value : [...value];
+    }
+    delete headers['content-length'];
+    delete headers['transfer-encoding'];
+    delete headers.connection;
+    return this.#options.transport.send({
+      address: home.address,
+      method: request.method,
+      target: request.target,
+      headers: {
+        ...headers,
+        [headerNames.requestId]: request.id,
+        [headerNames.deadline]: timeoutMilliseconds.toString(),
+        [headerNames.handedOver]: keyHash,
+      },
+      body: request.body,
+      requestId: request.id,
+      isIdempotent: false,
+      timeoutMilliseconds,
+      answerLimitBytes: request.service.answerLimitBytes,
+      connectionLimit: request.service.connectionsPerServer,
+      signal: request.signal,
+    });
+  }
+}
+
+/** Reads the outcome that the home told. @returns undefined when the request should be handed over again. */
+function outcomeOfHandOver(attempt: AttemptResult): Outcome | undefined {
+  if (attempt.kind !== 'answered') {
+    return undefined;
+  }
+  const { status, headers, body } = attempt;
+  const reason = textOf(headers, headerNames.reason);
+  switch (textOf(headers, headerNames.outcome)) {
+    case 'not-run': {
+      const retryAfter = textOf(headers, 'retry-after');
+      const outcome = { kind: 'not-run', reason: reason as NotRunReason } as const;
+      return retryAfter === undefined ? outcome : { ...outcome, retryAfterSeconds: Number(retryAfter) };
+    }
+    case 'unknown':
+      return { kind: 'unknown', reason: reason as UnknownReason };
+    default:
+      return { kind: 'answered', status, headers, body };
+  }
+}
+
+function textOf(headers: AnswerHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : value?.[0];
+}
--- /dev/null
+++ b/packages/gateway/src/common/requestExecutor.ts
@@ -0,0 +1,234 @@
+import { delay } from '@hickoryhoist/base/common/asynchronous.js';
+import { type KeyHash, type KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { findServer, ownerOfUnit, unitName, unitOfKey } from '@hickoryhoist/protocol/common/assignment.js';
+import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
+import { type GatewayRequest, remainingMilliseconds } from './gatewayRequest.js';
+import type { RoutingState } from './knownServers.js';
+import { notRunForNow, type Outcome } from './outcome.js';
+import { RetryBudget } from './retryBudget.js';
+import { ServerDirectory } from './serverDirectory.js';
+import type { AttemptResult, ServerRequest, ServerTransport } from './serverTransport.js';
+
+/** Pause before an assignment or a shedding server is looked at again, in milliseconds. */
+const RETRY_PAUSE_MILLISECONDS = 15;
+const RETRY_SHARE = 0.1;
+const RETRY_TOKENS = 20;
+
+/** Where an attempt goes. */
+interface Target {
+  readonly address: string;
+  readonly keyHash: KeyHash | undefined;
+  readonly epoch: number;
+  readonly sliceCount: number;
+}
+
+/** What one round of sending decided. */
+type Step =
+  { readonly kind: 'done'; readonly outcome: Outcome } | { readonly kind: 'again'; readonly proof: Outcome };
+
+/**
+ * Has a request run by the right server and says truthfully what became of it. A request that must not double
+ * is sent again only with proof that it was not run before.
+ */
+export class RequestExecutor {
+  readonly #hasher: KeyHasher;
+  readonly #routing: RoutingState;
+  readonly #transport: ServerTransport;
+  readonly #directory: ServerDirectory;
+  readonly #logger: Logger;
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  constructor(
+    hasher: KeyHasher,
+    routing: RoutingState,
+    transport: ServerTransport,
+    directory: ServerDirectory,
+    logger: Logger,
+  ) {
+    this.#hasher = hasher;
+    this.#routing = routing;
+    this.#transport = transport;
+    this.#directory = directory;
+    this.#logger = logger;
+  }
+
+  /**
+   * @param mayRun checked directly before each attempt; an attempt is made only while it holds.
+   */
+  async execute(request: GatewayRequest, mayRun: () => boolean = () => true): Promise<Outcome> {
+    this.#budget(request.service.name).recordRequest();
+    let last: Outcome = notRunForNow('deadline');
+    while (remainingMilliseconds(request) > 0 && !request.signal.aborted && mayRun()) {
+      const step = await this.#tryOnce(request, mayRun);
+      if (step.kind === 'done') {
+        return step.outcome;
+      }
+      last = step.proof;
+    }
+    return last;
+  }
+
+  async #tryOnce(request: GatewayRequest, mayRun: () => boolean): Promise<Step> {
+    const target = this.#target(request);
+    if (target === undefined) {
+      await pause(request);
+      return { kind: 'again', proof: notRunForNow('no-owner') };
+    }
+    const limiter = this.#directory.limiter(request.service, target.address);
+    const result = await limiter.acquire(request.service.latencyClass, remainingMilliseconds(request));
+    if (result.kind === 'overloaded') {
+      return { kind: 'done', outcome: notRunForNow('overloaded') };
+    }
+    try {
+      const isStillRight = this.#target(request, target.address)?.address === target.address;
+      if (!isStillRight || !mayRun() || remainingMilliseconds(request) <= 0) {
+        return { kind: 'again', proof: notRunForNow('no-owner') };
+      }
+      const startedAt = performance.now();
+      const attempt = await this.#transport.send(this.#serverRequest(request, target));
+      this.#directory.record(request.service, target, attempt, performance.now() - startedAt);
+      return await this.#judge(request, attempt, target);
+    } finally {
+      result.slot.dispose();
+    }
+  }
+
+  async #judge(request: GatewayRequest, attempt: AttemptResult, target: Target): Promise<Step> {
+    switch (attempt.kind) {
+      case 'answered':
+        return { kind: 'done', outcome: attempt };
+      case 'refused':
+        return this.#afterRefusal(request, attempt.refusal);
+      case 'not-written':
+        return this.#retryWithin(request, notRunForNow('server-unreachable'));
+      case 'lost': {
+        this.#logger.log('info', 'attempt-lost', {
+          request: request.id,
+          server: target.address,
+          cause: attempt.cause,
+        });
+        const outcome: Outcome = { kind: 'unknown', reason: attempt.cause };
+        return request.isIdempotent ? this.#retryWithin(request, outcome) : { kind: 'done', outcome };
+      }
+    }
+  }
+
+  async #afterRefusal(
+    request: GatewayRequest,
+    refusal: Extract<AttemptResult, { kind: 'refused' }>['refusal'],
+  ): Promise<Step> {
+    switch (refusal) {
+      case 'not-owner':
+      case 'leaving':
+        await pause(request);
+        return { kind: 'again', proof: notRunForNow('no-owner') };
+      case 'shed':
+        return this.#retryWithin(request, notRunForNow('shed'));
+    }
+  }
+
+  async #retryWithin(request: GatewayRequest, proof: Outcome): Promise<Step> {
+    if (!this.#budget(request.service.name).tryTake()) {
+      return { kind: 'done', outcome: proof };
+    }
+    await pause(request);
+    return { kind: 'again', proof };
+  }
+
+  #target(request: GatewayRequest, preferred?: string): Target | undefined {
+    switch (request.service.kind) {
+      case 'keyed':
+        return this.#keyedTarget(request.service.name, request.key ?? '');
+      case 'pooled': {
+        const servers = this.#routing.pooledServers(request.service);
+        const address =
+          preferred !== undefined && servers.includes(preferred)
+            ? preferred
+            : this.#directory.choose(request.service, servers);
+        return address === undefined ? undefined : { address, keyHash: undefined, epoch: 0, sliceCount: 1 };
+      }
+    }
+  }
+
+  #keyedTarget(group: string, key: string): Target | undefined {
+    const assignment = this.#routing.assignment(group);
+    if (assignment === undefined) {
+      return undefined;
+    }
+    const keyHash = this.#hasher.hash(key);
+    const unit = unitOfKey(assignment, keyHash);
+    const server = findServer(assignment, ownerOfUnit(assignment, unit));
+    const isReleasing = assignment.releases.some((release) => unitName(release.unit) === unitName(unit));
+    if (
+      server === undefined ||
+      server.phase === 'lost' ||
+      isReleasing ||
+      !this.#routing.mayRoute(group, server)
+    ) {
+      return undefined;
+    }
+    return { address: server.address, keyHash, epoch: server.epoch, sliceCount: assignment.owners.length };
+  }
+
+  #serverRequest(request: GatewayRequest, target: Target): ServerRequest {
+    const timeoutMilliseconds = Math.max(1, Math.floor(remainingMilliseconds(request)));
+    return {
+      address: target.address,
+      method: request.method,
+      target: request.target,
+      headers: {
+        ...forwardedHeaders(request),
+        [headerNames.requestId]: request.id,
+        [headerNames.deadline]: timeoutMilliseconds.toString(),
+        ...(target.keyHash === undefined
+          ? {}
+          : { [headerNames.keyHash]: target.keyHash, [headerNames.epoch]: target.epoch.toString() }),
+      },
+      body: request.body,
+      requestId: request.id,
+      isIdempotent: request.isIdempotent,
+      timeoutMilliseconds,
+      answerLimitBytes: request.service.answerLimitBytes,
+      connectionLimit: request.service.connectionsPerServer,
+      signal: request.signal,
+    };
+  }
+
+  #budget(service: string): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const budget = new RetryBudget(RETRY_SHARE, RETRY_TOKENS);
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+}
+
+const connectionHeaders: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'transfer-encoding',
+  'te',
+  'trailer',
+  'upgrade',
+  'host',
+  'content-length',
+  'expect',
+]);
+
+function forwardedHeaders(request: GatewayRequest): Record<string, string | string[]> {
+  const headers: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(request.headers)) {
+    if (!connectionHeaders.has(name) && !name.startsWith('hickoryhoist-')) {
+      headers[name] = typeof value === 'string' ? value : [...value];
+    }
+  }
+  return headers;
+}
+
+async function pause(request: GatewayRequest): Promise<void> {
+  await delay(Math.min(RETRY_PAUSE_MILLISECONDS, Math.max(1, remainingMilliseconds(request))));
+}
--- /dev/null
+++ b/packages/gateway/src/common/serviceMatcher.ts
@@ -0,0 +1,41 @@
+import type { ConfigurationSnapshot } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
+import type { ServiceFile } from '@hickoryhoist/configuration/common/serviceFile.js';
+import type { AnswerHeaders } from './outcome.js';
+
+/** Finds the service with the longest matching path prefix. */
+export function matchService(snapshot: ConfigurationSnapshot, path: string): ServiceFile | undefined {
+  return snapshot.services
+    .filter(({ pathPrefix }) => path === pathPrefix || path.startsWith(`${pathPrefix}/`))
+    .reduce<ServiceFile | undefined>(
+      (best, service) =>
+        best === undefined || service.pathPrefix.length > best.pathPrefix.length ? service : best,
+      undefined,
+    );
+}
+
+/** Reads the key of a request. @returns undefined when the request carries none. */
+export function extractKey(service: ServiceFile, url: URL, headers: AnswerHeaders): string | undefined {
+  if (service.kind === 'pooled') {
+    return undefined;
+  }
+  const key = readKey(service.key, service.pathPrefix, url, headers);
+  return key === '' ? undefined : key;
+}
+
+function readKey(
+  source: Extract<ServiceFile, { kind: 'keyed' }>['key'],
+  pathPrefix: string,
+  url: URL,
+  headers: AnswerHeaders,
+): string | undefined {
+  switch (source.in) {
+    case 'path':
+      return url.pathname.slice(pathPrefix.length + 1).split('/')[source.segment];
+    case 'query':
+      return url.searchParams.get(source.name) ?? undefined;
+    case 'header': {
+      const value = headers[source.name.toLowerCase()];
+      return typeof value === 'string' ? value : value?.[0];
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/node/gatewayServer.ts
@@ -0,0 +1,133 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import { describeError, HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
+import type { GatewayRequest } from '../common/gatewayRequest.js';
+import type { Outcome } from '../common/outcome.js';
+import { writeOutcome } from './answerWriter.js';
+import { readRequest } from './requestReader.js';
+
+/** The port for callers or for other entry VMs could not be opened. */
+export class GatewayListenError extends HickoryhoistError {
+  readonly code = 'gateway-listen';
+}
+
+/** What a gateway's port needs from its surroundings. */
+export interface GatewayServerOptions {
+  readonly configuration: () => RevisedConfiguration | undefined;
+  readonly execute: (request: GatewayRequest) => Promise<Outcome>;
+  /** Handles messages that are no requests of callers. @returns whether it took the message. */
+  readonly intercept?: (message: IncomingMessage, response: ServerResponse) => boolean;
+  readonly record: (request: GatewayRequest, outcome: Outcome, elapsedMilliseconds: number) => void;
+  readonly logger: Logger;
+}
+
+const NEVER_ABORTS = new AbortController().signal;
+
+/** HTTP port that takes requests in and tells their outcomes. */
+export class GatewayServer extends DisposableBase {
+  readonly #options: GatewayServerOptions;
+  readonly #server: Server;
+  #inFlight = 0;
+  #isStopping = false;
+  #onIdle: (() => void) | undefined;
+
+  constructor(options: GatewayServerOptions) {
+    super();
+    this.#options = options;
+    this.#server = createServer((message, response) => {
+      this.#accept(message, response);
+    });
+    this.register(
+      toDisposable(() => {
+        this.#server.close();
+        this.#server.closeAllConnections();
+      }),
+    );
+  }
+
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Opens the port. @returns its number. @throws GatewayListenError */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', (error) => {
+        reject(new GatewayListenError(`${host}:${port.toString()}: ${error.message}`, { cause: error }));
+      });
+      this.#server.listen(port, host, () => {
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Stops taking connections and resolves when every request in flight was answered. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    if (this.#inFlight > 0) {
+      await new Promise<void>((resolve) => {
+        this.#onIdle = resolve;
+      });
+    }
+    this.#server.closeIdleConnections();
+  }
+
+  #accept(message: IncomingMessage, response: ServerResponse): void {
+    if (this.#options.intercept?.(message, response) === true) {
+      return;
+    }
+    this.#inFlight += 1;
+    if (this.#isStopping) {
+      response.setHeader('connection', 'close');
+    }
+    response.once('close', () => {
+      this.#inFlight -= 1;
+      if (this.#inFlight === 0) {
+        this.#onIdle?.();
+      }
+    });
+    this.#serve(message, response).catch((error: unknown) => {
+      this.#options.logger.log('error', 'request-failed', { error: describeError(error) });
+      response.destroy();
+    });
+  }
+
+  async #serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const startedAt = performance.now();
+    const caller = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) {
+        caller.abort();
+      }
+    });
+    const result = await readRequest(message, this.#options.configuration(), caller.signal);
+    switch (result.kind) {
+      case 'caller-gone':
+        return;
+      case 'refused':
+        response.setHeader('connection', 'close');
+        writeOutcome(response, result.requestId, result.outcome);
+        return;
+      case 'request':
+        break;
+    }
+    const signal = result.request.isIdempotent ? caller.signal : NEVER_ABORTS;
+    const request = { ...result.request, signal };
+    const outcome = await this.#options.execute(request);
+    const elapsedMilliseconds = performance.now() - startedAt;
+    this.#options.record(request, outcome, elapsedMilliseconds);
+    this.#options.logger.log('debug', 'request-ended', {
+      request: request.id,
+      service: request.service.name,
+      outcome: outcome.kind,
+      reason: outcome.kind === 'answered' ? undefined : outcome.reason,
+      milliseconds: Math.round(elapsedMilliseconds),
+    });
+    writeOutcome(response, request.id, outcome);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/node/requestReader.ts
@@ -0,0 +1,141 @@
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
+import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
+import type { GatewayRequest } from '../common/gatewayRequest.js';
+import { MAXIMUM_IDEMPOTENCY_KEY_LENGTH } from '../common/idempotencyKey.js';
+import { type AnswerHeaders, notRunForNow, type Outcome } from '../common/outcome.js';
+import { extractKey, matchService } from '../common/serviceMatcher.js';
+
+/** Result of reading a request: the request, the outcome that ends it early, or nothing when the caller left. */
+export type ReadResult =
+  | { readonly kind: 'request'; readonly request: GatewayRequest }
+  | { readonly kind: 'refused'; readonly requestId: string; readonly outcome: Outcome }
+  | { readonly kind: 'caller-gone' };
+
+/** Reads and checks a caller's request in full. Nothing is sent to a server before. */
+export async function readRequest(
+  message: IncomingMessage,
+  configuration: RevisedConfiguration | undefined,
+  signal: AbortSignal,
+): Promise<ReadResult> {
+  const headers = definedHeaders(message);
+  const id = textOf(headers, headerNames.requestId) ?? randomUUID();
+  const refuse = (outcome: Outcome): ReadResult => ({ kind: 'refused', requestId: id, outcome });
+  if (configuration === undefined) {
+    return refuse(notRunForNow('not-ready'));
+  }
+  const target = message.url ?? '/';
+  const url = parseTarget(target);
+  if (url === undefined) {
+    return refuse({ kind: 'not-run', reason: 'malformed-request' });
+  }
+  const service = matchService(configuration.snapshot, url.pathname);
+  if (service === undefined) {
+    return refuse({ kind: 'not-run', reason: 'unknown-service' });
+  }
+  const key = extractKey(service, url, headers);
+  if (service.kind === 'keyed' && key === undefined) {
+    return refuse({ kind: 'not-run', reason: 'missing-key' });
+  }
+  const idempotencyKey = textOf(headers, headerNames.idempotencyKey);
+  if (idempotencyKey !== undefined && !isUsable(idempotencyKey)) {
+    return refuse({ kind: 'not-run', reason: 'malformed-request' });
+  }
+  const deadlineMilliseconds = deadlineOf(headers, service.deadlineMilliseconds);
+  if (deadlineMilliseconds === undefined) {
+    return refuse({ kind: 'not-run', reason: 'malformed-request' });
+  }
+  const deadlineAt = performance.now() + deadlineMilliseconds;
+  const body = await readBody(message, service.bodyLimitBytes);
+  switch (body.kind) {
+    case 'too-large':
+      return refuse({ kind: 'not-run', reason: 'body-too-large' });
+    case 'caller-gone':
+      return body;
+    case 'read':
+      break;
+  }
+  const method = message.method ?? 'GET';
+  const isIdempotent = (service.idempotentMethods as readonly string[]).includes(method);
+  return {
+    kind: 'request',
+    request: {
+      id,
+      service,
+      method,
+      target,
+      headers,
+      body: body.body,
+      key,
+      idempotencyKey,
+      isIdempotent,
+      deadlineAt,
+      signal,
+    },
+  };
+}
+
+type BodyResult =
+  | { readonly kind: 'read'; readonly body: Buffer }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'caller-gone' };
+
+function readBody(message: IncomingMessage, limitBytes: number): Promise<BodyResult> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    message.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > limitBytes) {
+        message.pause();
+        resolve({ kind: 'too-large' });
+        return;
+      }
+      chunks.push(chunk);
+    });
+    message.on('end', () => {
+      resolve({ kind: 'read', body: Buffer.concat(chunks) });
+    });
+    message.on('error', () => {
+      resolve({ kind: 'caller-gone' });
+    });
+    message.on('close', () => {
+      if (!message.complete) {
+        resolve({ kind: 'caller-gone' });
+      }
+    });
+  });
+}
+
+function parseTarget(target: string): URL | undefined {
+  return target.startsWith('/') && URL.canParse(target, 'http://caller')
+    ? new URL(target, 'http://caller')
+    : undefined;
+}
+
+function deadlineOf(headers: AnswerHeaders, limitMilliseconds: number): number | undefined {
+  const text = textOf(headers, headerNames.deadline);
+  if (text === undefined) {
+    return limitMilliseconds;
+  }
+  const wanted = /^\d{1,9}$/.test(text) ? Number(text) : 0;
+  return wanted > 0 ? Math.min(wanted, limitMilliseconds) : undefined;
+}
+
+function isUsable(idempotencyKey: string): boolean {
+  return idempotencyKey.length > 0 && idempotencyKey.length <= MAXIMUM_IDEMPOTENCY_KEY_LENGTH;
+}
+
+function definedHeaders(message: IncomingMessage): AnswerHeaders {
+  return Object.fromEntries(
+    Object.entries(message.headers).filter(
+      (entry): entry is [string, string | string[]] => entry[1] !== undefined,
+    ),
+  );
+}
+
+function textOf(headers: AnswerHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : value?.[0];
+}
--- /dev/null
+++ b/packages/ownership/src/common/assigner.ts
@@ -0,0 +1,266 @@
+import { randomUUID } from 'node:crypto';
+import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
+import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import { Emitter } from '@hickoryhoist/base/common/emitter.js';
+import { describeError } from '@hickoryhoist/base/common/errors.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
+import type { Assignment, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
+import { diffAssignments } from '@hickoryhoist/protocol/common/assignmentDelta.js';
+import type { AssignerMessage } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
+import type { AssignmentPlanner } from './assignmentPlanner.js';
+import type { AssignmentStore, HeldTerm } from './assignmentStore.js';
+import { leaseTiming } from './leaseTiming.js';
+import { mergeLoad } from './loadAggregation.js';
+import { type FollowerSession, MemberRegistry } from './memberRegistry.js';
+import type { Member, Observations, WantedServer } from './observations.js';
+import type { FollowerConnection, FollowerListener, PeerClient } from './peerClient.js';
+import type { ServerClient } from './serverClient.js';
+import { ServerObserver } from './serverObserver.js';
+
+const STEP_PAUSE_MILLISECONDS = 50;
+
+/** Time for which a new group waits for servers, so that its first placement is even. */
+const GATHERING_MILLISECONDS = 800;
+
+/** What an assigner needs from its surroundings. */
+export interface AssignerOptions {
+  readonly group: string;
+  readonly sliceCount: number;
+  readonly held: HeldTerm;
+  readonly store: AssignmentStore;
+  readonly planner: AssignmentPlanner;
+  readonly servers: ServerClient;
+  readonly peers: PeerClient;
+  readonly logger: Logger;
+  /** Servers that should be in the group now. */
+  readonly wantedServers: (members: readonly Member[]) => readonly WantedServer[];
+  /** Newest configuration, passed on to every follower. */
+  readonly configuration: () => RevisedConfiguration | undefined;
+}
+
+/** State of one server as operators see it. */
+export interface ServerStatus {
+  readonly server: ServerRecord;
+  readonly ownedUnits: number;
+  /** Identifiers of the entry VMs whose word is missing before the server's keys may move. */
+  readonly waitingFor: readonly string[];
+}
+
+/**
+ * Decides who owns what in one group, under a term. Every decision is durable before any server or follower
+ * learns of it. It stops for good when it finds that its term is over.
+ */
+export class Assigner extends DisposableBase {
+  readonly #options: AssignerOptions;
+  readonly #members = new MemberRegistry();
+  readonly #observers = new Map<string, ServerObserver>();
+  readonly #onDidLoseTerm = this.register(new Emitter<void>());
+  readonly #startedAt = performance.now();
+  #assignment: Assignment | undefined;
+  #isStoreReachable = true;
+
+  readonly onDidLoseTerm = this.#onDidLoseTerm.event;
+
+  constructor(options: AssignerOptions) {
+    super();
+    this.#options = options;
+    const log = (event: string) => (error: unknown) => {
+      this.#isStoreReachable = false;
+      options.logger.log('warn', event, { group: options.group, error: describeError(error) });
+    };
+    this.register(
+      repeat(
+        () => STEP_PAUSE_MILLISECONDS,
+        () => this.#step(),
+        log('assigner-step-failed'),
+      ),
+    );
+    this.register(
+      repeat(
+        () => leaseTiming.heartbeatPauseMilliseconds,
+        () => this.#heartbeat(),
+        log('assigner-heartbeat-failed'),
+      ),
+    );
+    this.register(
+      repeat(
+        () => leaseTiming.reportPauseMilliseconds,
+        () => {
+          this.#sendToAll();
+        },
+        log('assigner-send-failed'),
+      ),
+    );
+    this.register(
+      toDisposable(() => {
+        this.#observers.forEach((observer) => {
+          observer.dispose();
+        });
+      }),
+    );
+  }
+
+  get term(): number {
+    return this.#options.held.term;
+  }
+
+  get assignment(): Assignment | undefined {
+    return this.#assignment;
+  }
+
+  get isStoreReachable(): boolean {
+    return this.#isStoreReachable;
+  }
+
+  acceptFollower(connection: FollowerConnection): FollowerListener {
+    const session = this.#members.open(connection);
+    return {
+      onReport: (report) => {
+        this.#members.record(session, report);
+        this.#send(session);
+      },
+      onClose: () => {
+        this.#members.close(session);
+      },
+    };
+  }
+
+  confirmLost(entryVmId: string, incarnation: string): boolean {
+    return [...this.#observers.values()]
+      .map((observer) => observer.confirmLost(entryVmId, incarnation))
+      .some(Boolean);
+  }
+
+  serverStatus(): readonly ServerStatus[] {
+    const assignment = this.#assignment;
+    return (assignment?.servers ?? []).map((server) => ({
+      server,
+      ownedUnits: assignment?.owners.filter((owner) => owner === server.number).length ?? 0,
+      waitingFor: this.#observers.get(server.address)?.waitingFor.map(({ id }) => id) ?? [],
+    }));
+  }
+
+  async #step(): Promise<void> {
+    const { store, sliceCount, planner, held } = this.#options;
+    this.#assignment ??= (await store.readAssignment()) ?? store.emptyAssignment(sliceCount);
+    const current = this.#assignment;
+    const observations = this.#observe(current);
+    if (current.servers.length === 0 && performance.now() - this.#startedAt < GATHERING_MILLISECONDS) {
+      return;
+    }
+    const draft = planner.plan(current, observations);
+    if (!draft.isChanged || this.isDisposed()) {
+      return;
+    }
+    const next = draft.build(held.term, randomUUID());
+    const result = await store.writeAssignment(held, next);
+    this.#isStoreReachable = true;
+    switch (result) {
+      case 'written':
+        this.#adopt(next);
+        break;
+      case 'term-lost':
+        this.#onDidLoseTerm.fire();
+    }
+  }
+
+  #adopt(assignment: Assignment): void {
+    const before = this.#assignment;
+    this.#assignment = assignment;
+    this.#observers.forEach((observer) => {
+      observer.follow(assignment);
+    });
+    this.#options.logger.log('info', 'assignment-written', {
+      group: assignment.group,
+      revision: assignment.revision,
+      moved: assignment.owners.filter((owner, slice) => before?.owners[slice] !== owner).length,
+      releases: assignment.releases.length,
+    });
+    this.#sendToAll(before);
+  }
+
+  #observe(assignment: Assignment): Observations {
+    const sessions = this.#members.liveSessions();
+    const members = this.#members.members();
+    const wanted = this.#options.wantedServers(members);
+    const addresses = new Set([
+      ...wanted.map(({ address }) => address),
+      ...assignment.servers.map(({ address }) => address),
+    ]);
+    this.#keepObservers(addresses, assignment);
+    const records = new Map(assignment.servers.map((server) => [server.address, server]));
+    const servers = [...this.#observers].map(([address, observer]) => {
+      observer.update(records.get(address), sessions);
+      return [address, observer.observe(records.get(address), sessions)] as const;
+    });
+    const reports = sessions.flatMap(({ load }) => (load === undefined ? [] : [load]));
+    return { wanted, members, servers: new Map(servers), load: mergeLoad(reports) };
+  }
+
+  #keepObservers(addresses: ReadonlySet<string>, assignment: Assignment): void {
+    const { group, servers, peers } = this.#options;
+    for (const address of addresses) {
+      if (!this.#observers.has(address)) {
+        const observer = new ServerObserver(address, group, servers, peers);
+        observer.follow(assignment);
+        this.#observers.set(address, observer);
+      }
+    }
+    for (const [address, observer] of this.#observers) {
+      if (!addresses.has(address)) {
+        observer.dispose();
+        this.#observers.delete(address);
+      }
+    }
+  }
+
+  async #heartbeat(): Promise<void> {
+    const result = await this.#options.store.writeHeartbeat(this.#options.held);
+    this.#isStoreReachable = true;
+    if (result === 'term-lost') {
+      this.#onDidLoseTerm.fire();
+    }
+  }
+
+  #sendToAll(base?: Assignment): void {
+    for (const session of this.#members.allSessions()) {
+      this.#send(session, base);
+    }
+  }
+
+  #send(session: FollowerSession, base?: Assignment): void {
+    const header = { term: this.term, isStoreReachable: this.#isStoreReachable, isRefused: false };
+    const bodies = [this.#configurationBody(session), this.#assignmentBody(session, base)];
+    const due = bodies.filter((body) => body !== undefined);
+    if (due.length === 0) {
+      session.connection.send({ ...header, body: undefined });
+    }
+    for (const body of due) {
+      session.connection.send({ ...header, body });
+    }
+  }
+
+  #configurationBody(session: FollowerSession): AssignerMessage['body'] {
+    const configuration = this.#options.configuration();
+    if (configuration === undefined || configuration.revision <= session.configurationRevision) {
+      return undefined;
+    }
+    session.configurationRevision = configuration.revision;
+    const { revision, snapshot } = configuration;
+    return { $case: 'configuration', value: { revision, snapshot: JSON.stringify(snapshot) } };
+  }
+
+  #assignmentBody(session: FollowerSession, base: Assignment | undefined): AssignerMessage['body'] {
+    const assignment = this.#assignment;
+    const known = Math.max(session.appliedRevision, session.sentRevision);
+    if (assignment === undefined || assignment.revision <= known || assignment.revision === 0) {
+      return undefined;
+    }
+    session.sentRevision = assignment.revision;
+    session.sentAt = performance.now();
+    return base?.revision === known
+      ? { $case: 'delta', value: diffAssignments(base, assignment) }
+      : { $case: 'assignment', value: assignment };
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/common/assignmentPlanner.ts
@@ -0,0 +1,205 @@
+import type { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import type { Assignment, EntryVm, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
+import { AssignmentDraft } from './assignmentDraft.js';
+import type { BalancePolicy } from './balancePolicy.js';
+import type { Observations, ServerObservation, WantedServer } from './observations.js';
+import { selectRenewers } from './renewerSelection.js';
+
+/** Decides the next revision of an assignment. It is pure: the same inputs give the same draft. */
+export class AssignmentPlanner {
+  readonly #hasher: KeyHasher;
+  readonly #balance: BalancePolicy;
+
+  constructor(hasher: KeyHasher, balance: BalancePolicy) {
+    this.#hasher = hasher;
+    this.#balance = balance;
+  }
+
+  plan(base: Assignment, observations: Observations): AssignmentDraft {
+    const draft = new AssignmentDraft(base);
+    for (const wanted of observations.wanted) {
+      this.#planWanted(draft, wanted, observations);
+    }
+    for (const server of draft.servers) {
+      this.#planServer(draft, server, observations);
+    }
+    completeReleases(draft, observations);
+    this.#placeUnits(draft, observations);
+    return draft;
+  }
+
+  #planWanted(draft: AssignmentDraft, wanted: WantedServer, observations: Observations): void {
+    const observation = observations.servers.get(wanted.address);
+    if (observation?.isAnswering !== true) {
+      return;
+    }
+    const server = draft.findServer(wanted.address);
+    if (server === undefined || server.phase === 'lost' || server.incarnation !== observation.incarnation) {
+      draft.putServer(this.#admit(draft, wanted, observation, server, observations));
+    }
+  }
+
+  #admit(
+    draft: AssignmentDraft,
+    wanted: WantedServer,
+    observation: ServerObservation,
+    earlier: ServerRecord | undefined,
+    observations: Observations,
+  ): ServerRecord {
+    return {
+      number: earlier?.number ?? draft.nextServerNumber(),
+      address: wanted.address,
+      availabilityZone: wanted.availabilityZone,
+      incarnation: observation.incarnation,
+      fenceSupport: observation.fenceSupport,
+      phase: wanted.isLeaving || observation.isLeaving ? 'leaving' : 'serving',
+      epoch: draft.revision,
+      renewerFence: draft.revision,
+      renewers: this.#selectRenewers(wanted.address, wanted, earlier?.renewers ?? [], observations),
+      possibleRenewers: [],
+    };
+  }
+
+  #planServer(draft: AssignmentDraft, server: ServerRecord, observations: Observations): void {
+    const observation = observations.servers.get(server.address);
+    if (server.phase === 'lost' || observation === undefined) {
+      this.#removeUnwanted(draft, server, observations);
+      return;
+    }
+    if (observation.lapsedFence === server.renewerFence) {
+      draft.putServer({ ...server, phase: 'lost', renewers: [], possibleRenewers: [] });
+      return;
+    }
+    const next = this.#maintain(draft, server, observation, observations);
+    if (next !== server) {
+      draft.putServer(next);
+    }
+    this.#removeUnwanted(draft, next, observations);
+  }
+
+  #maintain(
+    draft: AssignmentDraft,
+    server: ServerRecord,
+    observation: ServerObservation,
+    observations: Observations,
+  ): ServerRecord {
+    const wanted = observations.wanted.find(({ address }) => address === server.address);
+    const isLeaving = wanted === undefined || wanted.isLeaving || observation.isLeaving;
+    const phase = isLeaving ? 'leaving' : 'serving';
+    let next = phase === server.phase ? server : { ...server, phase: phase as ServerRecord['phase'] };
+    if (next.possibleRenewers.length > 0 && observation.adoptedRenewerFence >= next.renewerFence) {
+      next = { ...next, possibleRenewers: [] };
+    }
+    return this.#maintainRenewers(draft, next, observation, observations);
+  }
+
+  #maintainRenewers(
+    draft: AssignmentDraft,
+    server: ServerRecord,
+    observation: ServerObservation,
+    observations: Observations,
+  ): ServerRecord {
+    const isWithdrawing = observation.withdrawingFence === server.renewerFence;
+    if (isWithdrawing && !observation.isAnswering) {
+      return server;
+    }
+    const wanted = observations.wanted.find(({ address }) => address === server.address);
+    const renewers = this.#selectRenewers(
+      server.address,
+      { ...server, ...wanted },
+      server.renewers,
+      observations,
+    );
+    if (renewers.length === 0 || (!isWithdrawing && isSameSet(renewers, server.renewers))) {
+      return server;
+    }
+    return {
+      ...server,
+      renewers,
+      renewerFence: draft.revision,
+      possibleRenewers: mergeEntryVms(server.possibleRenewers, server.renewers),
+    };
+  }
+
+  #selectRenewers(
+    address: string,
+    subject: { readonly availabilityZone: string; readonly entryVmId?: string | undefined },
+    current: readonly EntryVm[],
+    observations: Observations,
+  ): readonly EntryVm[] {
+    const { availabilityZone, entryVmId } = subject;
+    return selectRenewers(
+      this.#hasher,
+      { address, availabilityZone, entryVmId },
+      current,
+      observations.members,
+    );
+  }
+
+  #removeUnwanted(draft: AssignmentDraft, server: ServerRecord, observations: Observations): void {
+    const isWanted = observations.wanted.some(({ address }) => address === server.address);
+    const isSuccessor = draft.releases.some(({ successor }) => successor === server.number);
+    const ownsNothing = draft.unitsOf(server.number).length === 0 && !isSuccessor;
+    if (!isWanted && ownsNothing) {
+      draft.removeServer(server.number);
+    }
+  }
+
+  #placeUnits(draft: AssignmentDraft, observations: Observations): void {
+    const servers = draft.servers.filter(({ phase }) => phase === 'serving');
+    if (servers.length === 0) {
+      return;
+    }
+    const lostNumbers = draft.servers.filter(({ phase }) => phase === 'lost').map(({ number }) => number);
+    const homeless = [...draft.unownedUnits(), ...lostNumbers.flatMap((number) => draft.unitsOf(number))];
+    for (const { unit, owner } of this.#balance.place(draft, homeless, observations.load)) {
+      draft.assign(unit, owner);
+    }
+    for (const { unit, owner } of this.#balance.move(draft, observations.load)) {
+      draft.release(unit, owner);
+    }
+  }
+}
+
+/** Ends hand-overs whose owner has drained, or whose successor can no longer take the unit. */
+function completeReleases(draft: AssignmentDraft, observations: Observations): void {
+  const servers = new Map(draft.servers.map((server) => [server.number, server]));
+  for (const { unit, successor, sinceRevision } of draft.releases) {
+    const owner = servers.get(ownerOf(draft, unit));
+    const target = servers.get(successor);
+    const observation = owner === undefined ? undefined : observations.servers.get(owner.address);
+    const isDrained =
+      owner !== undefined &&
+      (owner.epoch > sinceRevision ||
+        (observation !== undefined && observation.drainedRevision >= sinceRevision));
+    if (target?.phase !== 'serving') {
+      draft.cancelRelease(unit);
+    } else if (isDrained && owner.phase !== 'lost') {
+      draft.assign(unit, successor);
+    }
+  }
+}
+
+function ownerOf(draft: AssignmentDraft, unit: AssignmentDraft['releases'][number]['unit']): number {
+  switch (unit.unit.$case) {
+    case 'slice':
+      return draft.owners[unit.unit.value] ?? 0;
+    case 'pin': {
+      const keyHash = unit.unit.value;
+      return draft.pins.find((pin) => pin.keyHash === keyHash)?.owner ?? 0;
+    }
+  }
+}
+
+function isSameSet(left: readonly EntryVm[], right: readonly EntryVm[]): boolean {
+  const names = new Set(right.map(entryVmName));
+  return left.length === right.length && left.every((entryVm) => names.has(entryVmName(entryVm)));
+}
+
+function mergeEntryVms(left: readonly EntryVm[], right: readonly EntryVm[]): readonly EntryVm[] {
+  return [...new Map([...left, ...right].map((entryVm) => [entryVmName(entryVm), entryVm])).values()];
+}
+
+function entryVmName({ id, incarnation }: EntryVm): string {
+  return `${id}/${incarnation}`;
+}
--- /dev/null
+++ b/packages/ownership/src/common/drainStore.ts
@@ -0,0 +1,43 @@
+import { z } from 'zod';
+import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
+import type { TableService } from '@hickoryhoist/platform/common/tableService.js';
+
+const DRAIN_ROW = 'drains';
+const MAXIMUM_ATTEMPTS = 10;
+const drainRowSchema = z.object({ addresses: z.array(z.string()) });
+
+/** Servers that operators took out of service, in the table service. */
+export class DrainStore {
+  readonly #table: TableService;
+
+  constructor(table: TableService) {
+    this.#table = table;
+  }
+
+  /** @throws PlatformUnavailableError */
+  async read(): Promise<readonly string[]> {
+    const row = await this.#table.read(DRAIN_ROW);
+    return row.version === 0 ? [] : parseDocument(DRAIN_ROW, drainRowSchema, row.value).addresses;
+  }
+
+  /**
+   * Adds or removes an address. Repeating a change has no further effect.
+   * @returns false when other operators kept changing the row at the same time.
+   * @throws PlatformUnavailableError
+   */
+  async set(address: string, isDrained: boolean): Promise<boolean> {
+    for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
+      const row = await this.#table.read(DRAIN_ROW);
+      const before = row.version === 0 ? [] : parseDocument(DRAIN_ROW, drainRowSchema, row.value).addresses;
+      const rest = before.filter((other) => other !== address);
+      const value = JSON.stringify({ addresses: isDrained ? [...rest, address] : rest });
+      const result = await this.#table.transact([
+        { kind: 'put', key: DRAIN_ROW, expectedVersion: row.version, value },
+      ]);
+      if (result.kind === 'committed') {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/common/entryVmControl.ts
@@ -0,0 +1,284 @@
+import { DisposableBase, DisposableStore } from '@hickoryhoist/base/common/disposable.js';
+import { Emitter } from '@hickoryhoist/base/common/emitter.js';
+import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
+import type { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import type { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
+import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
+import { ConfigurationStore } from '@hickoryhoist/configuration/common/configurationStore.js';
+import type { ServiceFile } from '@hickoryhoist/configuration/common/serviceFile.js';
+import type { Platform } from '@hickoryhoist/platform/common/platform.js';
+import { type Assignment, assignmentSchema, type EntryVm } from '@hickoryhoist/protocol/common/assignment.js';
+import type {
+  ConfirmLostReply,
+  ConfirmLostRequest,
+  FetchStateReply,
+  FollowerReport,
+  LoadReport,
+  RenewRoutesReply,
+  RenewRoutesRequest,
+  WithdrawReply,
+  WithdrawRequest,
+} from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
+import { AssignmentPlanner } from './assignmentPlanner.js';
+import { AssignmentStore } from './assignmentStore.js';
+import { ConfigurationKeeper, type ReadUrgency } from './configurationKeeper.js';
+import { GroupControl } from './groupControl.js';
+import { LeaseRenewer } from './leaseRenewer.js';
+import { LoadBalancePolicy } from './loadBalancePolicy.js';
+import type { Member, WantedServer } from './observations.js';
+import { OwnershipHolder } from './ownershipHolder.js';
+import type { FollowerConnection, FollowerListener, PeerClient, PeerHandler } from './peerClient.js';
+import { PlatformWatcher } from './platformWatcher.js';
+import type { ServerClient } from './serverClient.js';
+import { wantedEntryVms, wantedServersOf } from './wantedServers.js';
+
+/** Group whose servers are the entry VMs; its keys are idempotency keys. */
+export const ENTRY_VM_GROUP = 'entry-vms';
+
+const ENTRY_VM_SLICE_COUNT = 256;
+const HANDICAP_STEPS = 8;
+const HANDICAP_STEP_MILLISECONDS = 60;
+const BOOTSTRAP_PAUSE_MILLISECONDS = 500;
+
+/** What the control of an entry VM needs from its surroundings. */
+export interface EntryVmControlOptions {
+  readonly self: EntryVm;
+  readonly platform: Platform;
+  readonly peers: PeerClient;
+  readonly servers: ServerClient;
+  readonly hasher: KeyHasher;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** Control addresses of other entry VMs that are asked for state when the store does not answer. */
+  readonly seedAddresses: readonly string[];
+  readonly loadReport: (group: string) => LoadReport | undefined;
+}
+
+/** All control tasks of one entry VM. */
+export class EntryVmControl extends DisposableBase implements PeerHandler {
+  readonly #options: EntryVmControlOptions;
+  readonly #groups = new Map<string, GroupControl>();
+  readonly #groupStore = this.register(new DisposableStore());
+  readonly #watcher: PlatformWatcher;
+  readonly #onDidChangeAssignment = this.register(new Emitter<Assignment>());
+  #isLeaving = false;
+
+  readonly configuration: ConfigurationKeeper;
+  readonly renewer: LeaseRenewer;
+  /** Ownership of idempotency keys by this process. */
+  readonly holder: OwnershipHolder;
+  readonly onDidChangeAssignment = this.#onDidChangeAssignment.event;
+
+  constructor(options: EntryVmControlOptions) {
+    super();
+    this.#options = options;
+    const { platform, logger, random, self, servers } = options;
+    this.renewer = this.register(new LeaseRenewer(self, servers, logger));
+    this.holder = new OwnershipHolder({ incarnation: self.incarnation, now: () => performance.now() });
+    this.configuration = this.register(
+      new ConfigurationKeeper(new ConfigurationStore(platform), random, () => this.#urgency(), logger),
+    );
+    this.#watcher = this.register(
+      new PlatformWatcher(platform, () => [...this.#groups.values()].some(isAssigning), logger),
+    );
+    this.register(
+      this.configuration.onDidChange((configuration) => {
+        this.#followConfiguration(configuration);
+      }),
+    );
+    this.#addGroup(ENTRY_VM_GROUP, ENTRY_VM_SLICE_COUNT, wantedEntryVms);
+    this.register(
+      repeat(
+        () => BOOTSTRAP_PAUSE_MILLISECONDS,
+        () => this.#bootstrap(),
+        () => undefined,
+      ),
+    );
+  }
+
+  get self(): EntryVm {
+    return this.#options.self;
+  }
+
+  get groups(): readonly GroupControl[] {
+    return [...this.#groups.values()];
+  }
+
+  assignment(group: string): Assignment | undefined {
+    return this.#groups.get(group)?.follower.assignment;
+  }
+
+  isLeaving(address: string): boolean {
+    return this.#watcher.isLeaving(address);
+  }
+
+  /** Announces the planned stop of this process: its keys and its duties move elsewhere. */
+  leave(): void {
+    this.#isLeaving = true;
+    this.holder.leave();
+  }
+
+  acceptFollower(connection: FollowerConnection): FollowerListener {
+    let listener: FollowerListener | undefined;
+    const refuse = (): void => {
+      connection.send({ term: 0, isStoreReachable: false, isRefused: true, body: undefined });
+    };
+    return {
+      onReport: (report: FollowerReport) => {
+        listener ??= this.#groups.get(report.group)?.acceptFollower(connection);
+        if (listener === undefined) {
+          refuse();
+          return;
+        }
+        listener.onReport(report);
+      },
+      onClose: () => listener?.onClose(),
+    };
+  }
+
+  withdraw(request: WithdrawRequest): WithdrawReply {
+    return this.renewer.withdraw(request);
+  }
+
+  renewRoutes(request: RenewRoutesRequest): RenewRoutesReply {
+    return { incarnation: this.#options.self.incarnation, isGranted: request.routes.map(() => false) };
+  }
+
+  fetchState(): FetchStateReply {
+    const current = this.configuration.current;
+    return {
+      configuration:
+        current === undefined
+          ? undefined
+          : { revision: current.revision, snapshot: JSON.stringify(current.snapshot) },
+      groups: this.groups.map(({ follower }) => ({
+        assignment: follower.assignment,
+        assignerAddress: follower.hearsAssigner ? (follower.assignerAddress ?? '') : '',
+      })),
+      entryVms: [this.#options.self],
+    };
+  }
+
+  confirmLost({ entryVmId, incarnation }: ConfirmLostRequest): ConfirmLostReply {
+    const confirmed = [...this.#groups].filter(
+      ([, control]) => control.assigner?.confirmLost(entryVmId, incarnation) === true,
+    );
+    return { groups: confirmed.map(([group]) => group) };
+  }
+
+  #urgency(): ReadUrgency {
+    const entryVms = this.#groups.get(ENTRY_VM_GROUP);
+    if (entryVms?.assigner !== undefined) {
+      return 'distributor';
+    }
+    return entryVms?.follower.hearsAssigner === true ? 'follower' : 'uninformed';
+  }
+
+  #followConfiguration({ snapshot, revision }: RevisedConfiguration): void {
+    this.#options.logger.log('info', 'configuration-in-force', { revision });
+    for (const service of snapshot.services) {
+      if (!this.#groups.has(service.name)) {
+        this.#addGroup(service.name, sliceCountOf(service), () => this.#wanted(service.name));
+      }
+    }
+  }
+
+  #wanted(name: string): readonly WantedServer[] {
+    const services: readonly ServiceFile[] = this.configuration.current?.snapshot.services ?? [];
+    const service = services.find((other) => other.name === name);
+    return service === undefined ? [] : wantedServersOf(service, this.#watcher);
+  }
+
+  #addGroup(
+    group: string,
+    sliceCount: number,
+    wantedServers: (members: readonly Member[]) => readonly WantedServer[],
+  ): void {
+    const { self, platform, servers, peers, logger, hasher } = this.#options;
+    const rank = Number.parseInt(hasher.hash(`${group}|${self.id}`).slice(0, 6), 16) % HANDICAP_STEPS;
+    const control = this.#groupStore.add(
+      new GroupControl({
+        group,
+        sliceCount,
+        self,
+        store: new AssignmentStore(platform.table, group),
+        createPlanner: () => new AssignmentPlanner(hasher, new LoadBalancePolicy()),
+        servers,
+        peers,
+        logger,
+        handicapMilliseconds: rank * HANDICAP_STEP_MILLISECONDS,
+        wantedServers,
+        configuration: () => this.configuration.current,
+        reportDetails: () => ({
+          configurationRevision: this.configuration.current?.revision ?? 0,
+          isLeaving: this.#isLeaving,
+          servers: this.renewer.report(group),
+          load: this.#options.loadReport(group),
+        }),
+      }),
+    );
+    this.#groups.set(group, control);
+    this.#groupStore.add(
+      control.follower.onDidChangeAssignment((assignment) => {
+        this.renewer.follow(assignment);
+        this.#onDidChangeAssignment.fire(assignment);
+      }),
+    );
+    this.#groupStore.add(
+      control.follower.onDidReceiveConfiguration(({ revision, snapshot }) => {
+        this.configuration.offerSerialized(revision, snapshot);
+      }),
+    );
+  }
+
+  /** Asks peers for state while an assigner is not heard, for example during an outage of the store. */
+  async #bootstrap(): Promise<void> {
+    if (this.groups.every(({ follower }) => follower.hearsAssigner)) {
+      return;
+    }
+    const address = this.#seedAddress();
+    if (address === undefined) {
+      return;
+    }
+    const state = await this.#options.peers.fetchState(address);
+    if (state.configuration !== undefined) {
+      this.configuration.offerSerialized(state.configuration.revision, state.configuration.snapshot);
+    }
+    for (const { assignment, assignerAddress } of state.groups) {
+      this.#offerGroup(assignmentSchema.optional().parse(assignment), assignerAddress);
+    }
+  }
+
+  #offerGroup(assignment: Assignment | undefined, assignerAddress: string): void {
+    const follower = assignment === undefined ? undefined : this.#groups.get(assignment.group)?.follower;
+    if (assignment === undefined || follower === undefined) {
+      return;
+    }
+    follower.offer(assignment);
+    if (!follower.hearsAssigner && assignerAddress !== '') {
+      follower.redirect(assignerAddress);
+    }
+  }
+
+  #seedAddress(): string | undefined {
+    const known = this.assignment(ENTRY_VM_GROUP)?.servers.flatMap(({ renewers }) => renewers) ?? [];
+    const addresses = [...this.#options.seedAddresses, ...known.map(({ controlAddress }) => controlAddress)];
+    const others = addresses.filter((address) => address !== this.#options.self.controlAddress);
+    return others.length === 0 ? undefined : this.#options.random.pick(others);
+  }
+}
+
+/** A pooled service owns no keys; its group only keeps track of its servers. */
+function sliceCountOf(service: ServiceFile): number {
+  switch (service.kind) {
+    case 'keyed':
+      return service.sliceCount;
+    case 'pooled':
+      return 0;
+  }
+}
+
+function isAssigning(control: GroupControl): boolean {
+  return control.assigner !== undefined;
+}
--- /dev/null
+++ b/packages/ownership/src/common/observations.ts
@@ -0,0 +1,55 @@
+import type { EntryVm } from '@hickoryhoist/protocol/common/assignment.js';
+
+/** A server that should be part of the group, from the service file or the platform's VM list. */
+export interface WantedServer {
+  readonly address: string;
+  readonly availabilityZone: string;
+  /** The server is about to stop and must give up what it owns. */
+  readonly isLeaving: boolean;
+  /** Entry VM that runs the server, for the group whose servers are the entry VMs themselves. */
+  readonly entryVmId?: string;
+}
+
+/** What the assigner learned of a server by its own orders and from the reports of the renewers. */
+export interface ServerObservation {
+  readonly address: string;
+  readonly incarnation: string;
+  readonly fenceSupport: 'checked' | 'unchecked';
+  readonly isLeaving: boolean;
+  /** The server answered an order of this assigner within the suspicion time. */
+  readonly isAnswering: boolean;
+  /** The renewers' reports agree that the server has been silent for longer than the suspicion time. */
+  readonly isSilent: boolean;
+  /** Newest revision whose grant the server acknowledged, with nothing left to drain. */
+  readonly drainedRevision: number;
+  /** Highest renewer fence that the server is known to have adopted. */
+  readonly adoptedRenewerFence: number;
+  /** Renewer fence for which withdrawals have begun, or 0. */
+  readonly withdrawingFence: number;
+  /** Renewer fence for which every renewal has surely lapsed, or 0. */
+  readonly lapsedFence: number;
+}
+
+/** An entry VM whose follower is connected to the assigner. */
+export interface Member {
+  readonly entryVm: EntryVm;
+  readonly isLeaving: boolean;
+}
+
+/** Load of a group over the newest interval, from the gateways' reports. */
+export interface GroupLoad {
+  /** Work per slice, in busy milliseconds per second. */
+  readonly slices: ReadonlyMap<number, number>;
+  /** Work per hot key, in busy milliseconds per second. */
+  readonly keys: ReadonlyMap<string, number>;
+  /** Relative speed of each server by address; 1 is the mean. */
+  readonly speeds: ReadonlyMap<string, number>;
+}
+
+/** Everything that a planning step looks at besides the assignment itself. */
+export interface Observations {
+  readonly wanted: readonly WantedServer[];
+  readonly servers: ReadonlyMap<string, ServerObservation>;
+  readonly members: readonly Member[];
+  readonly load: GroupLoad;
+}
--- /dev/null
+++ b/packages/ownership/src/common/platformWatcher.ts
@@ -0,0 +1,48 @@
+import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
+import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
+import { describeError } from '@hickoryhoist/base/common/errors.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import type { Platform } from '@hickoryhoist/platform/common/platform.js';
+import type { VirtualMachine } from '@hickoryhoist/platform/common/virtualMachineList.js';
+import { DrainStore } from './drainStore.js';
+
+const READ_PAUSE_MILLISECONDS = 1_000;
+
+/** Keeps the platform's VM list and the operators' drains at hand, while this process needs them. */
+export class PlatformWatcher extends DisposableBase {
+  readonly #platform: Platform;
+  readonly #drains: DrainStore;
+  #machines: readonly VirtualMachine[] = [];
+  #drainedAddresses: ReadonlySet<string> = new Set();
+
+  constructor(platform: Platform, isNeeded: () => boolean, logger: Logger) {
+    super();
+    this.#platform = platform;
+    this.#drains = new DrainStore(platform.table);
+    this.register(
+      repeat(
+        () => READ_PAUSE_MILLISECONDS,
+        () => (isNeeded() ? this.read() : undefined),
+        (error) => {
+          logger.log('warn', 'platform-read-failed', { error: describeError(error) });
+        },
+      ),
+    );
+  }
+
+  /** Newest list of VMs that could be read. */
+  get machines(): readonly VirtualMachine[] {
+    return this.#machines;
+  }
+
+  isLeaving(address: string): boolean {
+    const machine = this.#machines.find((other) => other.address === address);
+    return machine?.state === 'leaving' || this.#drainedAddresses.has(address);
+  }
+
+  /** @throws PlatformUnavailableError */
+  async read(): Promise<void> {
+    this.#machines = await this.#platform.virtualMachines.list();
+    this.#drainedAddresses = new Set(await this.#drains.read());
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/common/serverContact.ts
@@ -0,0 +1,125 @@
+import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
+import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
+import type { Assignment } from '@hickoryhoist/protocol/common/assignment.js';
+import { findServerByAddress } from '@hickoryhoist/protocol/common/assignment.js';
+import type { OwnershipOrder, OwnershipState } from '@hickoryhoist/protocol/common/serverMessages.js';
+import { grantContent, grantFor } from './grants.js';
+import { leaseTiming } from './leaseTiming.js';
+import type { ServerClient } from './serverClient.js';
+
+const CONTACT_PAUSE_MILLISECONDS = 100;
+const DESCRIBE_PAUSE_MILLISECONDS = 300;
+
+/** Keeps one server's grants up to date, and finds out whether the server is there. */
+export class ServerContact extends DisposableBase {
+  readonly #address: string;
+  readonly #servers: ServerClient;
+  #assignment: Assignment | undefined;
+  #state: OwnershipState | undefined;
+  #fenceSupport: 'checked' | 'unchecked' = 'checked';
+  #lastAnswerAt: number | undefined;
+  #lastDescribeAt = 0;
+  #acknowledgedContent = '';
+  #drainedRevision = 0;
+  #isBusy = false;
+
+  constructor(address: string, servers: ServerClient) {
+    super();
+    this.#address = address;
+    this.#servers = servers;
+    this.register(
+      repeat(
+        () => CONTACT_PAUSE_MILLISECONDS,
+        () => this.#work(),
+        () => undefined,
+      ),
+    );
+    void this.#work().catch(() => undefined);
+  }
+
+  get fenceSupport(): 'checked' | 'unchecked' {
+    return this.#fenceSupport;
+  }
+
+  get state(): OwnershipState | undefined {
+    return this.#state;
+  }
+
+  /** Time of the newest answer on the runtime's monotonic clock, in milliseconds. */
+  get lastAnswerAt(): number | undefined {
+    return this.#lastAnswerAt;
+  }
+
+  /** Newest revision that the server acknowledged with nothing left to drain. */
+  get drainedRevision(): number {
+    return this.#drainedRevision;
+  }
+
+  /** Takes over a durable assignment and sends the grant that follows from it. */
+  follow(assignment: Assignment): void {
+    this.#assignment = assignment;
+    void this.#work().catch(() => undefined);
+  }
+
+  async #work(): Promise<void> {
+    if (this.#isBusy || this.isDisposed()) {
+      return;
+    }
+    this.#isBusy = true;
+    try {
+      let handled: Assignment | undefined;
+      do {
+        handled = this.#assignment;
+        await this.#sendWhatIsDue();
+      } while (handled !== this.#assignment && !this.isDisposed());
+    } finally {
+      this.#isBusy = false;
+    }
+  }
+
+  async #sendWhatIsDue(): Promise<void> {
+    const assignment = this.#assignment;
+    const server = assignment === undefined ? undefined : findServerByAddress(assignment, this.#address);
+    if (assignment === undefined || server === undefined || server.phase === 'lost') {
+      await this.#describeWhenDue();
+      return;
+    }
+    const grant = grantFor(assignment, server);
+    const content = grantContent(grant);
+    if (content === this.#acknowledgedContent && this.#state?.drainingRequests === 0) {
+      this.#drainedRevision = assignment.revision;
+      await this.#describeWhenDue();
+      return;
+    }
+    const state = await this.#order(grant);
+    if (state?.accepted === true) {
+      this.#acknowledgedContent = content;
+      this.#drainedRevision = state.drainingRequests === 0 ? assignment.revision : this.#drainedRevision;
+    }
+  }
+
+  async #describeWhenDue(): Promise<void> {
+    if (performance.now() - this.#lastDescribeAt < DESCRIBE_PAUSE_MILLISECONDS) {
+      return;
+    }
+    this.#lastDescribeAt = performance.now();
+    await this.#order({ kind: 'describe' });
+  }
+
+  async #order(order: OwnershipOrder): Promise<OwnershipState | undefined> {
+    const answer = await this.#servers.order(this.#address, order, leaseTiming.orderTimeoutMilliseconds);
+    this.#lastAnswerAt = performance.now();
+    switch (answer.kind) {
+      case 'unchecked':
+        this.#fenceSupport = 'unchecked';
+        return undefined;
+      case 'checked':
+        if (this.#state !== undefined && this.#state.incarnation !== answer.state.incarnation) {
+          this.#acknowledgedContent = '';
+        }
+        this.#fenceSupport = 'checked';
+        this.#state = answer.state;
+        return answer.state;
+    }
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/common/serverObserver.ts
@@ -0,0 +1,105 @@
+import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
+import type { Assignment, EntryVm, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
+import { leaseTiming } from './leaseTiming.js';
+import type { FollowerSession } from './memberRegistry.js';
+import type { ServerObservation } from './observations.js';
+import type { PeerClient } from './peerClient.js';
+import type { ServerClient } from './serverClient.js';
+import { ServerContact } from './serverContact.js';
+import { Withdrawal } from './withdrawal.js';
+
+/** What is known of one server: the assigner's own contact and the reports of the renewers. */
+export class ServerObserver extends DisposableBase {
+  readonly #address: string;
+  readonly #group: string;
+  readonly #peers: PeerClient;
+  readonly #contact: ServerContact;
+  #withdrawal: Withdrawal | undefined;
+
+  constructor(address: string, group: string, servers: ServerClient, peers: PeerClient) {
+    super();
+    this.#address = address;
+    this.#group = group;
+    this.#peers = peers;
+    this.#contact = this.register(new ServerContact(address, servers));
+  }
+
+  /** Entry VMs whose word is missing before the server's keys may move. */
+  get waitingFor(): readonly EntryVm[] {
+    return this.#withdrawal?.waitingFor ?? [];
+  }
+
+  follow(assignment: Assignment): void {
+    this.#contact.follow(assignment);
+  }
+
+  confirmLost(entryVmId: string, incarnation: string): boolean {
+    return this.#withdrawal?.confirmLost(entryVmId, incarnation) ?? false;
+  }
+
+  /** Begins or ends a withdrawal according to the newest reports. */
+  update(record: ServerRecord | undefined, sessions: readonly FollowerSession[]): void {
+    const isObsolete =
+      this.#withdrawal !== undefined && this.#withdrawal.renewerFence !== record?.renewerFence;
+    if (isObsolete || record?.phase === 'lost') {
+      this.#endWithdrawal();
+    }
+    if (record === undefined || record.phase === 'lost' || this.#withdrawal !== undefined) {
+      return;
+    }
+    if (this.#isSilent(record, sessions)) {
+      this.#withdrawal = new Withdrawal(this.#group, record, this.#peers);
+    }
+  }
+
+  observe(record: ServerRecord | undefined, sessions: readonly FollowerSession[]): ServerObservation {
+    const state = this.#contact.state;
+    const reports = this.#reports(record, sessions);
+    return {
+      address: this.#address,
+      incarnation: state?.incarnation ?? '',
+      fenceSupport: this.#contact.fenceSupport,
+      isLeaving: state?.isLeaving === true || reports.some(({ isLeaving }) => isLeaving),
+      isAnswering: this.#isAnswering(),
+      isSilent: record !== undefined && this.#isSilent(record, sessions),
+      drainedRevision: this.#contact.drainedRevision,
+      adoptedRenewerFence: state?.epoch === record?.epoch ? (state?.renewerFence ?? 0) : 0,
+      withdrawingFence: this.#withdrawal?.renewerFence ?? 0,
+      lapsedFence: this.#withdrawal?.isLapsed === true ? this.#withdrawal.renewerFence : 0,
+    };
+  }
+
+  override dispose(): void {
+    this.#endWithdrawal();
+    super.dispose();
+  }
+
+  #endWithdrawal(): void {
+    this.#withdrawal?.dispose();
+    this.#withdrawal = undefined;
+  }
+
+  #isAnswering(): boolean {
+    const { lastAnswerAt } = this.#contact;
+    return lastAnswerAt !== undefined && performance.now() - lastAnswerAt < leaseTiming.suspicionMilliseconds;
+  }
+
+  #isSilent(record: ServerRecord, sessions: readonly FollowerSession[]): boolean {
+    const reports = this.#reports(record, sessions);
+    const isSilentForAll = reports.every(
+      ({ silentMilliseconds }) => silentMilliseconds >= leaseTiming.suspicionMilliseconds,
+    );
+    return reports.length > 0 && isSilentForAll && !this.#isAnswering();
+  }
+
+  #reports(
+    record: ServerRecord | undefined,
+    sessions: readonly FollowerSession[],
+  ): FollowerSession['servers'] {
+    return sessions
+      .flatMap(({ servers }) => servers)
+      .filter(
+        ({ address, renewerFence }) => address === this.#address && renewerFence === record?.renewerFence,
+      );
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/node/httpServerClient.ts
@@ -0,0 +1,44 @@
+import { request, type Dispatcher } from 'undici';
+import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
+import { describeError } from '@hickoryhoist/base/common/errors.js';
+import {
+  OWNERSHIP_PATH,
+  type OwnershipOrder,
+  ownershipStateSchema,
+} from '@hickoryhoist/protocol/common/serverMessages.js';
+import { type OrderAnswer, type ServerClient, ServerUnreachableError } from '../common/serverClient.js';
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+
+/** Sends orders over HTTP. A server without the ownership interface counts as unchecked. */
+export class HttpServerClient implements ServerClient {
+  readonly #dispatcher: Dispatcher;
+
+  constructor(dispatcher: Dispatcher) {
+    this.#dispatcher = dispatcher;
+  }
+
+  async order(address: string, order: OwnershipOrder, timeoutMilliseconds: number): Promise<OrderAnswer> {
+    try {
+      const response = await request(`http://${address}${OWNERSHIP_PATH}`, {
+        dispatcher: this.#dispatcher,
+        method: 'POST',
+        body: JSON.stringify(order),
+        headers: { 'content-type': 'application/json' },
+        signal: AbortSignal.timeout(timeoutMilliseconds),
+      });
+      const text = await response.body.text();
+      switch (response.statusCode) {
+        case STATUS_OK:
+          return { kind: 'checked', state: parseDocument(address, ownershipStateSchema, text) };
+        case STATUS_NOT_FOUND:
+          return { kind: 'unchecked' };
+        default:
+          throw new ServerUnreachableError(`${address}: status ${response.statusCode.toString()}`);
+      }
+    } catch (error) {
+      throw new ServerUnreachableError(`${address}: ${describeError(error)}`, { cause: error });
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/node/httpPlatform.ts
@@ -0,0 +1,82 @@
+import { Pool } from 'undici';
+import type { z } from 'zod';
+import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
+import { type Disposable } from '@hickoryhoist/base/common/disposable.js';
+import { describeError } from '@hickoryhoist/base/common/errors.js';
+import type { ObjectStore } from '../common/objectStore.js';
+import type { Platform } from '../common/platform.js';
+import {
+  emptySchema,
+  objectContentSchema,
+  tableRowSchema,
+  transactionResultSchema,
+  virtualMachineListSchema,
+} from '../common/platformMessages.js';
+import {
+  PlatformUnavailableError,
+  type TableOperation,
+  type TableRow,
+  type TableService,
+  type TransactionResult,
+} from '../common/tableService.js';
+import type { VirtualMachine, VirtualMachineList } from '../common/virtualMachineList.js';
+
+const REQUEST_TIMEOUT_MILLISECONDS = 2_000;
+const MAXIMUM_CONNECTIONS = 8;
+
+/** Client of the platform's HTTP interface. */
+export class HttpPlatform implements Platform, Disposable {
+  readonly #pool: Pool;
+
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly virtualMachines: VirtualMachineList;
+
+  /** @param address `host:port` of the platform. */
+  constructor(address: string) {
+    this.#pool = new Pool(`http://${address}`, { connections: MAXIMUM_CONNECTIONS });
+    this.table = {
+      read: (key) => this.#call('/table/read', { key }, tableRowSchema, false) satisfies Promise<TableRow>,
+      transact: (operations: readonly TableOperation[]): Promise<TransactionResult> =>
+        this.#call('/table/transact', { operations }, transactionResultSchema, true),
+    };
+    this.objects = {
+      put: async (name, content) => {
+        await this.#call('/objects/put', { name, content }, emptySchema, true);
+      },
+      get: async (name) => (await this.#call('/objects/get', { name }, objectContentSchema, false)).content,
+    };
+    this.virtualMachines = {
+      list: async (): Promise<readonly VirtualMachine[]> =>
+        (await this.#call('/machines/list', {}, virtualMachineListSchema, false)).machines,
+    };
+  }
+
+  dispose(): void {
+    void this.#pool.destroy();
+  }
+
+  async #call<S extends z.ZodType>(
+    path: string,
+    message: object,
+    schema: S,
+    isWrite: boolean,
+  ): Promise<z.output<S>> {
+    try {
+      const response = await this.#pool.request({
+        path,
+        method: 'POST',
+        body: JSON.stringify(message),
+        headers: { 'content-type': 'application/json' },
+        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MILLISECONDS),
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== 200) {
+        throw new PlatformUnavailableError(`status ${response.statusCode.toString()}`, isWrite);
+      }
+      return parseDocument(`answer of ${path}`, schema, text);
+    } catch (error) {
+      throw new PlatformUnavailableError(`${path}: ${describeError(error)}`, isWrite, { cause: error });
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/src/common/testReport.ts
@@ -0,0 +1,27 @@
+/** Result of one test file. */
+export interface TestFileReport {
+  readonly file: string;
+  readonly passed: number;
+  /** Names of the failed tests. */
+  readonly failed: readonly string[];
+  /** The file ended without a summary: it crashed, or it held no test. */
+  readonly isBroken: boolean;
+  readonly output: string;
+}
+
+const ESCAPE_SEQUENCE = new RegExp(`${String.fromCharCode(27)}\\[[0-9;]*m`, 'g');
+
+/** Reads what the test library printed for one file. */
+export function parseTestOutput(file: string, exitCode: number, rawOutput: string): TestFileReport {
+  const output = rawOutput.replace(ESCAPE_SEQUENCE, '');
+  const passed = Number(/Passed:\s+(\d+)/.exec(output)?.[1] ?? '0');
+  const total = Number(/Total:\s+(\d+)/.exec(output)?.[1] ?? '0');
+  const failed = [...output.matchAll(/^\s*FAIL\s+.*?"(.+)"\s*$/gm)].map((match) => match[1] ?? '');
+  const isBroken = total === 0 || passed + failed.length !== total || (exitCode !== 0 && failed.length === 0);
+  return { file, passed, failed, isBroken, output };
+}
+
+/** Names of the tests that KNOWN-RED.txt lists, one `test:` line each. */
+export function parseKnownRed(text: string): readonly string[] {
+  return [...text.matchAll(/^test:\s*(.+?)\s*$/gm)].map((match) => match[1] ?? '');
+}
