Prove sole ownership under failure, and mend what the proofs found

Cause: nothing showed that a key has one owner under failure. A key was served again only 3,340 ms after the loss of a server together with the assigner (bound 3,000). Trace: each follower that connected to the new assigner changed the renewers of the dead server, which reset its fence five times and began the withdrawal anew. 2. An assigner cut off from the store was never replaced, because its stream was still heard. 3. A candidate began to count the silence of the heartbeat row only after its stream had been silent, so both waits added up. 4. The check of transitions inside the program refused a hand-over whose owner had restarted. The trace shows that the case is allowed: the old incarnation is gone, and the new one was granted nothing. Ruled out: a longer bound; reports of renewers that had not connected yet. Change: renewers change only while the server answers and followers had time to connect; followers count an assigner without store as silent; candidates look at the store in order of succession and back off while it fails; every transition is checked apart from the planner; grants are prepared once for each assignment.

--- a/packages/ownership/src/common/assigner.ts
+++ b/packages/ownership/src/common/assigner.ts
@@ -2,7 +2,7 @@
 import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
-import { describeError } from '@hickoryhoist/base/common/errors.js';
+import { describeError, InvariantError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
 import type { Assignment, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
@@ -16,11 +16,12 @@
 import type { Member, Observations, WantedServer } from './observations.js';
 import type { FollowerConnection, FollowerListener, PeerClient } from './peerClient.js';
 import type { ServerClient } from './serverClient.js';
+import { assertSafeTransition } from './safeTransition.js';
 import { ServerObserver } from './serverObserver.js';
 
 const STEP_PAUSE_MILLISECONDS = 50;
 
-/** Time for which a new group waits for servers, so that its first placement is even. */
+/** Time for which a new assigner waits for followers and servers before it changes what lives on. */
 const GATHERING_MILLISECONDS = 800;
 
 /** What an assigner needs from its surroundings. */
@@ -66,8 +67,13 @@
     super();
     this.#options = options;
     const log = (event: string) => (error: unknown) => {
+      const fields = { group: options.group, error: describeError(error) };
+      if (error instanceof InvariantError) {
+        options.logger.log('error', 'invariant-broken', fields);
+        return;
+      }
       this.#isStoreReachable = false;
-      options.logger.log('warn', event, { group: options.group, error: describeError(error) });
+      options.logger.log('warn', event, fields);
     };
     this.register(
       repeat(
@@ -146,7 +152,7 @@
     this.#assignment ??= (await store.readAssignment()) ?? store.emptyAssignment(sliceCount);
     const current = this.#assignment;
     const observations = this.#observe(current);
-    if (current.servers.length === 0 && performance.now() - this.#startedAt < GATHERING_MILLISECONDS) {
+    if (current.servers.length === 0 && !observations.isSettled) {
       return;
     }
     const draft = planner.plan(current, observations);
@@ -154,6 +160,7 @@
       return;
     }
     const next = draft.build(held.term, randomUUID());
+    assertSafeTransition(current, next, observations);
     const result = await store.writeAssignment(held, next);
     this.#isStoreReachable = true;
     switch (result) {
@@ -195,7 +202,8 @@
       return [address, observer.observe(records.get(address), sessions)] as const;
     });
     const reports = sessions.flatMap(({ load }) => (load === undefined ? [] : [load]));
-    return { wanted, members, servers: new Map(servers), load: mergeLoad(reports) };
+    const isSettled = performance.now() - this.#startedAt >= GATHERING_MILLISECONDS;
+    return { wanted, members, servers: new Map(servers), load: mergeLoad(reports), isSettled };
   }
 
   #keepObservers(addresses: ReadonlySet<string>, assignment: Assignment): void {
--- a/packages/ownership/src/common/assignmentDraft.ts
+++ b/packages/ownership/src/common/assignmentDraft.ts
@@ -104,13 +104,23 @@
 
   /** Units that a server owns, in release or not. */
   unitsOf(number: number): readonly Unit[] {
-    const slices = this.#owners.flatMap((owner, slice): Unit[] =>
-      owner === number ? [{ unit: { $case: 'slice', value: slice } }] : [],
-    );
-    const pins = this.pins
-      .filter(({ owner }) => owner === number)
-      .map(({ keyHash }): Unit => ({ unit: { $case: 'pin', value: keyHash } }));
-    return [...slices, ...pins];
+    const units: Unit[] = [];
+    this.#owners.forEach((owner, slice) => {
+      if (owner === number) {
+        units.push({ unit: { $case: 'slice', value: slice } });
+      }
+    });
+    for (const { keyHash, owner } of this.#pins.values()) {
+      if (owner === number) {
+        units.push({ unit: { $case: 'pin', value: keyHash } });
+      }
+    }
+    return units;
+  }
+
+  /** Whether a server owns any unit. */
+  ownsAny(number: number): boolean {
+    return this.#owners.includes(number) || this.pins.some(({ owner }) => owner === number);
   }
 
   unownedUnits(): readonly Unit[] {
--- a/packages/ownership/src/common/assignmentPlanner.ts
+++ b/packages/ownership/src/common/assignmentPlanner.ts
@@ -93,16 +93,17 @@
     return this.#maintainRenewers(draft, next, observation, observations);
   }
 
+  /** Renewers change only while the server answers, since it must adopt the new ones itself. */
   #maintainRenewers(
     draft: AssignmentDraft,
     server: ServerRecord,
     observation: ServerObservation,
     observations: Observations,
   ): ServerRecord {
-    const isWithdrawing = observation.withdrawingFence === server.renewerFence;
-    if (isWithdrawing && !observation.isAnswering) {
+    if (!observation.isAnswering || !observations.isSettled) {
       return server;
     }
+    const isWithdrawing = observation.withdrawingFence === server.renewerFence;
     const wanted = observations.wanted.find(({ address }) => address === server.address);
     const renewers = this.#selectRenewers(
       server.address,
@@ -139,8 +140,7 @@
   #removeUnwanted(draft: AssignmentDraft, server: ServerRecord, observations: Observations): void {
     const isWanted = observations.wanted.some(({ address }) => address === server.address);
     const isSuccessor = draft.releases.some(({ successor }) => successor === server.number);
-    const ownsNothing = draft.unitsOf(server.number).length === 0 && !isSuccessor;
-    if (!isWanted && ownsNothing) {
+    if (!isWanted && !isSuccessor && !draft.ownsAny(server.number)) {
       draft.removeServer(server.number);
     }
   }
--- a/packages/ownership/src/common/election.ts
+++ b/packages/ownership/src/common/election.ts
@@ -13,21 +13,30 @@
   readonly self: EntryVm;
   readonly store: AssignmentStore;
   readonly logger: Logger;
-  /** Extra wait of this candidate, so that candidates do not act at the same time, in milliseconds. */
-  readonly handicapMilliseconds: number;
-  /** Whether this process hears the assigner at the moment; if so it leaves the store alone. */
+  /** Number of entry VMs that should take over before this one. */
+  readonly position: () => number;
+  /** Whether this process hears an assigner that reaches the store; if so it leaves the store alone. */
   readonly hearsAssigner: () => boolean;
 }
 
+interface SeenHeartbeat {
+  readonly term: number;
+  readonly heartbeat: number;
+  readonly since: number;
+}
+
 /**
  * Takes over a group whose assigner shows no life. Two processes may believe that they are the assigner;
- * only the one whose term is current can write, so an election needs no haste and no vote.
+ * only the one whose term is current can write, so an election needs no haste and no vote. Candidates look
+ * at the store one after the other, so that reads do not grow with the number of entry VMs.
  */
 export class Election extends DisposableBase {
   readonly #options: ElectionOptions;
   readonly #onDidWin = this.register(new Emitter<HeldTerm>());
   readonly #onDidSeeHolder = this.register(new Emitter<TermRecord>());
-  #seen: { readonly term: number; readonly heartbeat: number; readonly since: number } | undefined;
+  #silentSince: number | undefined;
+  #seen: SeenHeartbeat | undefined;
+  #pauseMilliseconds: number = leaseTiming.candidatePauseMilliseconds;
   #isHolder = false;
 
   readonly onDidWin = this.#onDidWin.event;
@@ -39,9 +48,13 @@
     this.#options = options;
     this.register(
       repeat(
-        () => leaseTiming.candidatePauseMilliseconds,
+        () => this.#pauseMilliseconds,
         () => this.#observe(),
         (error) => {
+          this.#pauseMilliseconds = Math.min(
+            this.#pauseMilliseconds * 2,
+            leaseTiming.candidateLongestPauseMilliseconds,
+          );
           options.logger.log('debug', 'election-read-failed', {
             group: options.group,
             error: describeError(error),
@@ -54,14 +67,24 @@
   /** Makes this process a candidate again after it lost its term. */
   resume(): void {
     this.#isHolder = false;
-    this.#seen = undefined;
+    this.#reset();
   }
 
   async #observe(): Promise<void> {
     if (this.#isHolder || this.#options.hearsAssigner()) {
-      this.#seen = undefined;
+      this.#reset();
       return;
     }
+    this.#silentSince ??= performance.now();
+    const patience = this.#options.position() * leaseTiming.candidateStepMilliseconds;
+    if (performance.now() - this.#silentSince < patience) {
+      return;
+    }
+    await this.#lookAtStore();
+    this.#pauseMilliseconds = leaseTiming.candidatePauseMilliseconds;
+  }
+
+  async #lookAtStore(): Promise<void> {
     const { store } = this.#options;
     const record = await store.readTerm();
     this.#onDidSeeHolder.fire(record);
@@ -69,18 +92,26 @@
     if (this.#seen?.term !== record.term || this.#seen.heartbeat !== heartbeat) {
       this.#seen = { term: record.term, heartbeat, since: performance.now() };
     }
-    const { handicapMilliseconds, self, group } = this.#options;
-    const patience = record.holder === undefined ? 0 : leaseTiming.assignerLapseMilliseconds;
-    const isLapsed = performance.now() - this.#seen.since >= patience + handicapMilliseconds;
-    if (!isLapsed || this.isDisposed()) {
-      return;
+    const lapse = record.holder === undefined ? 0 : leaseTiming.assignerLapseMilliseconds;
+    if (performance.now() - this.#seen.since >= lapse && !this.isDisposed()) {
+      await this.#take(record);
     }
+  }
+
+  async #take(record: TermRecord): Promise<void> {
+    const { store, self, logger, group } = this.#options;
     const held = await store.takeTerm(record, self);
     if (held === undefined || this.isDisposed()) {
       return;
     }
     this.#isHolder = true;
-    this.#options.logger.log('info', 'term-taken', { group, term: held.term });
+    logger.log('info', 'term-taken', { group, term: held.term });
     this.#onDidWin.fire(held);
   }
+
+  #reset(): void {
+    this.#silentSince = undefined;
+    this.#seen = undefined;
+    this.#pauseMilliseconds = leaseTiming.candidatePauseMilliseconds;
+  }
 }
--- a/packages/ownership/src/common/entryVmControl.ts
+++ b/packages/ownership/src/common/entryVmControl.ts
@@ -1,7 +1,7 @@
 import { DisposableBase, DisposableStore } from '@hickoryhoist/base/common/disposable.js';
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
-import type { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import { type KeyHasher, rendezvousScore } from '@hickoryhoist/base/common/keyHash.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
@@ -37,8 +37,6 @@
 export const ENTRY_VM_GROUP = 'entry-vms';
 
 const ENTRY_VM_SLICE_COUNT = 256;
-const HANDICAP_STEPS = 8;
-const HANDICAP_STEP_MILLISECONDS = 60;
 const BOOTSTRAP_PAUSE_MILLISECONDS = 500;
 
 /** What the control of an entry VM needs from its surroundings. */
@@ -196,7 +194,6 @@
     wantedServers: (members: readonly Member[]) => readonly WantedServer[],
   ): void {
     const { self, platform, servers, peers, logger, hasher } = this.#options;
-    const rank = Number.parseInt(hasher.hash(`${group}|${self.id}`).slice(0, 6), 16) % HANDICAP_STEPS;
     const control = this.#groupStore.add(
       new GroupControl({
         group,
@@ -207,7 +204,7 @@
         servers,
         peers,
         logger,
-        handicapMilliseconds: rank * HANDICAP_STEP_MILLISECONDS,
+        position: () => this.#positionIn(group),
         wantedServers,
         configuration: () => this.configuration.current,
         reportDetails: () => ({
@@ -232,6 +229,14 @@
     );
   }
 
+  /** Order of succession of the assigners of a group, by rendezvous hashing over the known entry VMs. */
+  #positionIn(group: string): number {
+    const { hasher, self } = this.#options;
+    const ownScore = rendezvousScore(hasher, group, self.requestAddress);
+    const others = this.assignment(ENTRY_VM_GROUP)?.servers.filter(({ phase }) => phase === 'serving') ?? [];
+    return others.filter(({ address }) => rendezvousScore(hasher, group, address) > ownScore).length;
+  }
+
   /** Asks peers for state while an assigner is not heard, for example during an outage of the store. */
   async #bootstrap(): Promise<void> {
     if (this.groups.every(({ follower }) => follower.hearsAssigner)) {
--- a/packages/ownership/src/common/follower.ts
+++ b/packages/ownership/src/common/follower.ts
@@ -133,6 +133,7 @@
       onClose: () => {
         if (this.#stream === stream) {
           this.#stream = undefined;
+          this.#lastHeardAt = Number.NEGATIVE_INFINITY;
         }
       },
     });
--- a/packages/ownership/src/common/groupControl.ts
+++ b/packages/ownership/src/common/groupControl.ts
@@ -21,7 +21,8 @@
   readonly servers: ServerClient;
   readonly peers: PeerClient;
   readonly logger: Logger;
-  readonly handicapMilliseconds: number;
+  /** Number of entry VMs that should become the assigner before this one. */
+  readonly position: () => number;
   readonly wantedServers: (members: readonly Member[]) => readonly WantedServer[];
   readonly configuration: () => RevisedConfiguration | undefined;
   readonly reportDetails: () => ReportDetails;
@@ -39,7 +40,7 @@
   constructor(options: GroupControlOptions) {
     super();
     this.#options = options;
-    const { group, self, peers, logger, reportDetails, store, handicapMilliseconds } = options;
+    const { group, self, peers, logger, reportDetails, store, position } = options;
     this.follower = this.register(new Follower({ group, self, peers, logger, reportDetails }));
     this.#election = this.register(
       new Election({
@@ -47,8 +48,8 @@
         self,
         store,
         logger,
-        handicapMilliseconds,
-        hearsAssigner: () => this.follower.hearsAssigner,
+        position,
+        hearsAssigner: () => this.follower.isStoreReachable,
       }),
     );
     this.register(
--- a/packages/ownership/src/common/leaseTiming.ts
+++ b/packages/ownership/src/common/leaseTiming.ts
@@ -11,7 +11,7 @@
   /** Pause between two reports of a follower, and the pause between two heartbeats of an assigner. */
   reportPauseMilliseconds: 250,
   /** Silence after which a follower or an assigner counts as lost. */
-  peerSilenceMilliseconds: 900,
+  peerSilenceMilliseconds: 700,
   /** Limit of one call between entry VMs. */
   peerCallTimeoutMilliseconds: 500,
   /** Limit of one order to a server. */
@@ -19,7 +19,11 @@
   /** Pause between two writes of an assigner's heartbeat row. */
   heartbeatPauseMilliseconds: 400,
   /** Time without change of the heartbeat row after which another entry VM may take over. */
-  assignerLapseMilliseconds: 1_200,
+  assignerLapseMilliseconds: 900,
+  /** Wait added for each entry VM that stands before a candidate in the order of succession. */
+  candidateStepMilliseconds: 150,
+  /** Longest pause between two attempts of a candidate while the store does not answer. */
+  candidateLongestPauseMilliseconds: 4_000,
   /** Pause between two reads of the heartbeat row by a candidate. */
   candidatePauseMilliseconds: 200,
 } as const;
--- a/packages/ownership/src/common/loadBalancePolicy.ts
+++ b/packages/ownership/src/common/loadBalancePolicy.ts
@@ -53,22 +53,18 @@
   }
 
   move(draft: AssignmentDraft, load: GroupLoad): readonly Placement[] {
-    const servers = this.#serverWork(draft, load);
     const leaving = draft.servers.filter(({ phase }) => phase === 'leaving');
     const stranded = leaving
       .flatMap(({ number }) => draft.unitsOf(number))
       .filter((unit) => !draft.isReleasing(unit));
     if (stranded.length > 0) {
-      return placeAll(stranded, servers, load);
+      return placeAll(stranded, this.#serverWork(draft, load), load);
     }
     if (draft.releases.length > 0 || performance.now() < this.#nextMoveAt) {
       return [];
     }
-    const moves = this.#balance(draft, servers, load);
-    if (moves.length > 0) {
-      this.#nextMoveAt = performance.now() + this.#options.intervalMilliseconds;
-    }
-    return moves;
+    this.#nextMoveAt = performance.now() + this.#options.intervalMilliseconds;
+    return this.#balance(draft, this.#serverWork(draft, load), load);
   }
 
   #balance(draft: AssignmentDraft, servers: readonly ServerWork[], load: GroupLoad): readonly Placement[] {
--- a/packages/ownership/src/common/observations.ts
+++ b/packages/ownership/src/common/observations.ts
@@ -52,4 +52,6 @@
   readonly servers: ReadonlyMap<string, ServerObservation>;
   readonly members: readonly Member[];
   readonly load: GroupLoad;
+  /** The assigner has held its term for long enough that every follower should have connected. */
+  readonly isSettled: boolean;
 }
--- a/packages/ownership/src/common/serverContact.ts
+++ b/packages/ownership/src/common/serverContact.ts
@@ -1,8 +1,15 @@
 import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
-import type { Assignment } from '@hickoryhoist/protocol/common/assignment.js';
-import { findServerByAddress } from '@hickoryhoist/protocol/common/assignment.js';
-import type { OwnershipOrder, OwnershipState } from '@hickoryhoist/protocol/common/serverMessages.js';
+import {
+  type Assignment,
+  findServerByAddress,
+  type ServerRecord,
+} from '@hickoryhoist/protocol/common/assignment.js';
+import type {
+  OwnershipGrant,
+  OwnershipOrder,
+  OwnershipState,
+} from '@hickoryhoist/protocol/common/serverMessages.js';
 import { grantContent, grantFor } from './grants.js';
 import { leaseTiming } from './leaseTiming.js';
 import type { ServerClient } from './serverClient.js';
@@ -10,6 +17,13 @@
 const CONTACT_PAUSE_MILLISECONDS = 100;
 const DESCRIBE_PAUSE_MILLISECONDS = 300;
 
+/** A grant that was built for one assignment. */
+interface PreparedGrant {
+  readonly assignment: Assignment;
+  readonly grant: OwnershipGrant;
+  readonly content: string;
+}
+
 /** Keeps one server's grants up to date, and finds out whether the server is there. */
 export class ServerContact extends DisposableBase {
   readonly #address: string;
@@ -19,6 +33,7 @@
   #fenceSupport: 'checked' | 'unchecked' = 'checked';
   #lastAnswerAt: number | undefined;
   #lastDescribeAt = 0;
+  #prepared: PreparedGrant | undefined;
   #acknowledgedContent = '';
   #drainedRevision = 0;
   #isBusy = false;
@@ -84,8 +99,7 @@
       await this.#describeWhenDue();
       return;
     }
-    const grant = grantFor(assignment, server);
-    const content = grantContent(grant);
+    const { grant, content } = this.#grantUnder(assignment, server);
     if (content === this.#acknowledgedContent && this.#state?.drainingRequests === 0) {
       this.#drainedRevision = assignment.revision;
       await this.#describeWhenDue();
@@ -98,6 +112,14 @@
     }
   }
 
+  #grantUnder(assignment: Assignment, server: ServerRecord): PreparedGrant {
+    if (this.#prepared?.assignment !== assignment) {
+      const grant = grantFor(assignment, server);
+      this.#prepared = { assignment, grant, content: grantContent(grant) };
+    }
+    return this.#prepared;
+  }
+
   async #describeWhenDue(): Promise<void> {
     if (performance.now() - this.#lastDescribeAt < DESCRIBE_PAUSE_MILLISECONDS) {
       return;
--- a/packages/ownership/src/common/serverObserver.ts
+++ b/packages/ownership/src/common/serverObserver.ts
@@ -14,6 +14,7 @@
   readonly #group: string;
   readonly #peers: PeerClient;
   readonly #contact: ServerContact;
+  readonly #startedAt = performance.now();
   #withdrawal: Withdrawal | undefined;
 
   constructor(address: string, group: string, servers: ServerClient, peers: PeerClient) {
@@ -89,7 +90,9 @@
     const isSilentForAll = reports.every(
       ({ silentMilliseconds }) => silentMilliseconds >= leaseTiming.suspicionMilliseconds,
     );
-    return reports.length > 0 && isSilentForAll && !this.#isAnswering();
+    const isKnownToAll = reports.length > 0 && reports.length === record.renewers.length;
+    const isKnownHere = performance.now() - this.#startedAt >= leaseTiming.suspicionMilliseconds;
+    return isSilentForAll && (isKnownToAll || isKnownHere) && !this.#isAnswering();
   }
 
   #reports(
--- /dev/null
+++ b/packages/ownership/src/common/test/fakes/fakePlatform.ts
@@ -0,0 +1,59 @@
+import { MemoryPlatform } from '@hickoryhoist/platform/common/memoryPlatform.js';
+import type { Platform } from '@hickoryhoist/platform/common/platform.js';
+import { PlatformUnavailableError } from '@hickoryhoist/platform/common/tableService.js';
+import type { FakeNetwork } from './fakeNetwork.js';
+
+/** Name of the platform on the fake network. */
+export const PLATFORM = 'platform';
+
+const CALL_TIMEOUT_MILLISECONDS = 1_000;
+
+/** The platform behind a fake network, with outages and lost answers. */
+export class FakePlatform {
+  readonly memory = new MemoryPlatform();
+  readonly #network: FakeNetwork;
+  isDown = false;
+  /** Number of coming transactions whose answer is lost after they took effect. */
+  lostAnswers = 0;
+
+  constructor(network: FakeNetwork) {
+    this.#network = network;
+  }
+
+  /** The platform as one caller sees it. */
+  seenFrom(caller: string): Platform {
+    const { table, objects, virtualMachines } = this.memory;
+    const call = <T>(isWrite: boolean, run: () => Promise<T>): Promise<T> => this.#call(caller, isWrite, run);
+    return {
+      table: {
+        read: (key) => call(false, () => table.read(key)),
+        transact: (operations) => call(true, () => table.transact(operations)),
+      },
+      objects: {
+        put: (name, content) => call(true, () => objects.put(name, content)),
+        get: (name) => call(false, () => objects.get(name)),
+      },
+      virtualMachines: { list: () => call(false, () => virtualMachines.list()) },
+    };
+  }
+
+  async #call<T>(caller: string, isWrite: boolean, run: () => Promise<T>): Promise<T> {
+    try {
+      return await this.#network.call(caller, PLATFORM, CALL_TIMEOUT_MILLISECONDS, async () => {
+        if (this.isDown) {
+          throw new PlatformUnavailableError('the platform is down', false);
+        }
+        const answer = await run();
+        if (isWrite && this.lostAnswers > 0) {
+          this.lostAnswers -= 1;
+          throw new PlatformUnavailableError('the answer was lost', true);
+        }
+        return answer;
+      });
+    } catch (error) {
+      throw error instanceof PlatformUnavailableError
+        ? error
+        : new PlatformUnavailableError('no answer', isWrite, { cause: error });
+    }
+  }
+}
