--- a/packages/daemon/src/node/assignmentRouting.ts
+++ b/packages/daemon/src/node/assignmentRouting.ts
@@ -1,3 +1,4 @@
+import type { Disposable } from '@hickoryhoist/base/common/disposable.js';
 import type { ServiceFile } from '@hickoryhoist/configuration/common/serviceFile.js';
 import type { RoutingState } from '@hickoryhoist/gateway/common/knownServers.js';
 import type { EntryVmControl } from '@hickoryhoist/ownership/common/entryVmControl.js';
@@ -20,7 +21,11 @@
     return servers.filter(({ phase }) => phase === 'serving').map(({ address }) => address);
   }
 
-  mayRoute(_group: string, server: ServerRecord): boolean {
-    return server.fenceSupport === 'checked';
+  mayRoute(group: string, server: ServerRecord): boolean {
+    return server.fenceSupport === 'checked' || this.#control.routeLeases.mayRoute(group, server);
+  }
+
+  track(group: string, address: string, revision: number): Disposable {
+    return this.#control.routeLeases.track(group, address, revision);
   }
 }
--- a/packages/daemon/src/node/entryVmProcess.ts
+++ b/packages/daemon/src/node/entryVmProcess.ts
@@ -5,6 +5,7 @@
 import { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
+import { CrashGuard, findRefused } from '@hickoryhoist/gateway/common/crashGuard.js';
 import { HomeGateway } from '@hickoryhoist/gateway/common/homeGateway.js';
 import { IdempotencyLedger } from '@hickoryhoist/gateway/common/idempotencyLedger.js';
 import type { GatewayRequest } from '@hickoryhoist/gateway/common/gatewayRequest.js';
@@ -47,6 +48,7 @@
     this.#logger = logger;
     const random = new RandomSource(randomInt(LARGEST_SEED));
     const directory = new ServerDirectory(random);
+    const crashGuard = new CrashGuard();
     const agent = new Agent({ keepAliveTimeout: IDLE_ORDER_CONNECTION_MILLISECONDS });
     this.register(toDisposable(() => void agent.destroy()));
     this.#control = this.register(
@@ -60,12 +62,19 @@
         logger,
         seedAddresses: settings.seedControlAddresses,
         loadReport: (group) => directory.loadReport(group),
+        crashes: {
+          report: () => crashGuard.report(),
+          findRefused,
+          refuse: (fingerprints) => {
+            crashGuard.refuse(fingerprints);
+          },
+        },
       }),
     );
     this.#controlServer = this.register(new GrpcControlServer(this.#control));
     const routing = new AssignmentRouting(this.#control);
     const transport = this.register(new ConnectionPool());
-    const executor = new RequestExecutor(hasher, routing, transport, directory, logger);
+    const executor = new RequestExecutor(hasher, routing, transport, directory, crashGuard, logger);
     const home = new HomeGateway({
       requestAddress: settings.requestAddress,
       hasher,
--- a/packages/gateway/src/common/homeGateway.ts
+++ b/packages/gateway/src/common/homeGateway.ts
@@ -12,13 +12,7 @@
 import { type GatewayRequest, remainingMilliseconds } from './gatewayRequest.js';
 import type { IdempotencyLedger } from './idempotencyLedger.js';
 import type { RoutingState } from './knownServers.js';
-import {
-  type AnswerHeaders,
-  notRunForNow,
-  type Outcome,
-  type NotRunReason,
-  type UnknownReason,
-} from './outcome.js';
+import { type AnswerHeaders, type Outcome, type NotRunReason, type UnknownReason } from './outcome.js';
 import type { RequestExecutor } from './requestExecutor.js';
 import type { AttemptResult, ServerTransport } from './serverTransport.js';
 
@@ -46,10 +40,12 @@
     this.#options = options;
   }
 
-  /** Runs a request that carries an idempotency key, here or at the key's home. */
+  /**
+   * Runs a request that carries an idempotency key, here or at the key's home. Only the home can tell that a
+   * key was not run before, so without its word the outcome is unknown; resending the key is always safe.
+   */
   async execute(request: GatewayRequest, idempotencyKey: string): Promise<Outcome> {
     const keyHash = this.#options.hasher.hash(idempotencyKey);
-    let last: Outcome = notRunForNow('not-ready');
     while (remainingMilliseconds(request) > 0) {
       if (this.#options.holder.owns(keyHash)) {
         return this.executeAtHome(request, idempotencyKey, keyHash);
@@ -61,11 +57,10 @@
         if (outcome !== undefined) {
           return outcome;
         }
-        last = attempt.kind === 'lost' ? { kind: 'unknown', reason: 'entry-vm-lost' } : last;
       }
       await delay(HAND_OVER_PAUSE_MILLISECONDS);
     }
-    return last;
+    return { kind: 'unknown', reason: 'idempotency-key-home-unreachable' };
   }
 
   /** Runs a request under the ledger of this process, which must own the key. */
--- a/packages/gateway/src/common/knownServers.ts
+++ b/packages/gateway/src/common/knownServers.ts
@@ -1,3 +1,4 @@
+import type { Disposable } from '@hickoryhoist/base/common/disposable.js';
 import type { ServiceFile } from '@hickoryhoist/configuration/common/serviceFile.js';
 import type { Assignment, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
 
@@ -8,4 +9,6 @@
   pooledServers(service: ServiceFile): readonly string[];
   /** Whether this process may send to a server that checks no fences. */
   mayRoute(group: string, server: ServerRecord): boolean;
+  /** Counts a request as in flight that was sent under a revision, until the result is disposed. */
+  track(group: string, address: string, revision: number): Disposable;
 }
--- a/packages/gateway/src/common/outcome.ts
+++ b/packages/gateway/src/common/outcome.ts
@@ -21,7 +21,8 @@
   | 'answer-damaged'
   | 'answer-too-large'
   | 'idempotency-key-may-predate-ledger'
-  | 'entry-vm-lost';
+  | 'idempotency-key-home-unreachable'
+  | 'crashed-server';
 
 /** Headers of an answer, in lower case. */
 export type AnswerHeaders = Readonly<Record<string, string | readonly string[]>>;
--- a/packages/gateway/src/common/requestExecutor.ts
+++ b/packages/gateway/src/common/requestExecutor.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { findServer, ownerOfUnit, unitName, unitOfKey } from '@hickoryhoist/protocol/common/assignment.js';
 import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
+import { type CrashGuard, fingerprintOf } from './crashGuard.js';
 import { type GatewayRequest, remainingMilliseconds } from './gatewayRequest.js';
 import type { RoutingState } from './knownServers.js';
 import { notRunForNow, type Outcome } from './outcome.js';
@@ -20,6 +21,8 @@
   readonly address: string;
   readonly keyHash: KeyHash | undefined;
   readonly epoch: number;
+  /** Revision of the assignment that names the target. */
+  readonly revision: number;
   readonly sliceCount: number;
 }
 
@@ -36,6 +39,7 @@
   readonly #routing: RoutingState;
   readonly #transport: ServerTransport;
   readonly #directory: ServerDirectory;
+  readonly #crashGuard: CrashGuard;
   readonly #logger: Logger;
   readonly #budgets = new Map<string, RetryBudget>();
 
@@ -44,12 +48,14 @@
     routing: RoutingState,
     transport: ServerTransport,
     directory: ServerDirectory,
+    crashGuard: CrashGuard,
     logger: Logger,
   ) {
     this.#hasher = hasher;
     this.#routing = routing;
     this.#transport = transport;
     this.#directory = directory;
+    this.#crashGuard = crashGuard;
     this.#logger = logger;
   }
 
@@ -85,16 +91,56 @@
       if (!isStillRight || !mayRun() || remainingMilliseconds(request) <= 0) {
         return { kind: 'again', proof: notRunForNow('no-owner') };
       }
-      const startedAt = performance.now();
-      const attempt = await this.#transport.send(this.#serverRequest(request, target));
-      this.#directory.record(request.service, target, attempt, performance.now() - startedAt);
+      if (this.#crashGuard.isRefused(fingerprintOf(request))) {
+        return { kind: 'done', outcome: { kind: 'not-run', reason: 'crashes-servers' } };
+      }
+      const attempt = request.isIdempotent
+        ? await this.#sendHedged(request, target)
+        : await this.#send(request, target, request.signal);
       return await this.#judge(request, attempt, target);
     } finally {
       result.slot.dispose();
     }
   }
 
+  async #send(request: GatewayRequest, target: Target, signal: AbortSignal): Promise<AttemptResult> {
+    const startedAt = performance.now();
+    const tracking = this.#routing.track(request.service.name, target.address, target.revision);
+    const attempt = await this.#transport.send(this.#serverRequest(request, target, signal));
+    tracking.dispose();
+    if (!signal.aborted) {
+      this.#directory.record(request.service, target, attempt, performance.now() - startedAt);
+    }
+    return attempt;
+  }
+
+  /**
+   * Sends an idempotent request a second time when the first attempt stays silent for longer than the server
+   * usually takes. The first useful answer wins, and the other attempt is cancelled.
+   */
+  async #sendHedged(request: GatewayRequest, target: Target): Promise<AttemptResult> {
+    const cancellation = new AbortController();
+    const signal = AbortSignal.any([request.signal, cancellation.signal]);
+    const first = this.#send(request, target, signal);
+    const patience = this.#directory.hedgeMilliseconds(request.service, target.address);
+    if (!(await isPendingAfter(first, patience)) || !this.#budget(request.service.name).tryTake()) {
+      return first;
+    }
+    const attempt = await firstUseful(first, this.#send(request, target, signal));
+    cancellation.abort();
+    return attempt;
+  }
+
+  #recordForCrashes(request: GatewayRequest, attempt: AttemptResult): void {
+    if (attempt.kind === 'answered') {
+      this.#crashGuard.recordAnswer(fingerprintOf(request));
+    } else if (attempt.kind === 'lost' && attempt.cause === 'connection-lost' && !request.signal.aborted) {
+      this.#crashGuard.recordLoss(fingerprintOf(request));
+    }
+  }
+
   async #judge(request: GatewayRequest, attempt: AttemptResult, target: Target): Promise<Step> {
+    this.#recordForCrashes(request, attempt);
     switch (attempt.kind) {
       case 'answered':
         return { kind: 'done', outcome: attempt };
@@ -146,7 +192,9 @@
           preferred !== undefined && servers.includes(preferred)
             ? preferred
             : this.#directory.choose(request.service, servers);
-        return address === undefined ? undefined : { address, keyHash: undefined, epoch: 0, sliceCount: 1 };
+        return address === undefined
+          ? undefined
+          : { address, keyHash: undefined, epoch: 0, revision: 0, sliceCount: 1 };
       }
     }
   }
@@ -168,10 +216,16 @@
     ) {
       return undefined;
     }
-    return { address: server.address, keyHash, epoch: server.epoch, sliceCount: assignment.owners.length };
+    return {
+      address: server.address,
+      keyHash,
+      epoch: server.epoch,
+      revision: assignment.revision,
+      sliceCount: assignment.owners.length,
+    };
   }
 
-  #serverRequest(request: GatewayRequest, target: Target): ServerRequest {
+  #serverRequest(request: GatewayRequest, target: Target, signal: AbortSignal): ServerRequest {
     const timeoutMilliseconds = Math.max(1, Math.floor(remainingMilliseconds(request)));
     return {
       address: target.address,
@@ -191,7 +245,7 @@
       timeoutMilliseconds,
       answerLimitBytes: request.service.answerLimitBytes,
       connectionLimit: request.service.connectionsPerServer,
-      signal: request.signal,
+      signal,
     };
   }
 
@@ -232,3 +286,30 @@
 async function pause(request: GatewayRequest): Promise<void> {
   await delay(Math.min(RETRY_PAUSE_MILLISECONDS, Math.max(1, remainingMilliseconds(request))));
 }
+
+/** Whether an attempt is still without result after a time. */
+async function isPendingAfter(attempt: Promise<AttemptResult>, milliseconds: number): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<true>((resolve) => {
+    timer = setTimeout(() => {
+      resolve(true);
+    }, milliseconds);
+  });
+  const isPending = await Promise.race([attempt.then(() => false), limit]);
+  clearTimeout(timer);
+  return isPending;
+}
+
+/** The first of two attempts that was answered or refused; the first attempt when neither was. */
+async function firstUseful(
+  first: Promise<AttemptResult>,
+  second: Promise<AttemptResult>,
+): Promise<AttemptResult> {
+  const isUseful = ({ kind }: AttemptResult): boolean => kind === 'answered' || kind === 'refused';
+  const earlier = await Promise.race([first, second]);
+  if (isUseful(earlier)) {
+    return earlier;
+  }
+  const both = await Promise.all([first, second]);
+  return both.find(isUseful) ?? both[0];
+}
--- a/packages/gateway/src/common/serverDirectory.ts
+++ b/packages/gateway/src/common/serverDirectory.ts
@@ -11,6 +11,8 @@
 const SMOOTHING = 0.1;
 const INITIAL_SERVICE_MILLISECONDS = 5;
 const AVOIDANCE_MILLISECONDS = 500;
+const HEDGE_FACTOR = 4;
+const SHORTEST_HEDGE_MILLISECONDS = 25;
 
 interface ServerEntry {
   readonly limiter: SlotLimiter;
@@ -54,6 +56,12 @@
     return this.#expectedWait(service, first) <= this.#expectedWait(service, second) ? first : second;
   }
 
+  /** Silence after which an idempotent request is worth a second attempt. */
+  hedgeMilliseconds(service: ServiceFile, address: string): number {
+    const { serviceMilliseconds } = this.#entry(service, address);
+    return Math.max(SHORTEST_HEDGE_MILLISECONDS, HEDGE_FACTOR * serviceMilliseconds);
+  }
+
   record(service: ServiceFile, target: RecordedTarget, attempt: AttemptResult, elapsed: number): void {
     const entry = this.#entry(service, target.address);
     switch (attempt.kind) {
--- /dev/null
+++ b/packages/gateway/src/common/test/atMostOnce.test.ts
@@ -0,0 +1,155 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import * as assert from 'uvu/assert';
+import { toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
+import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import { CrashGuard } from '../crashGuard.js';
+import type { Outcome } from '../outcome.js';
+import { RequestExecutor } from '../requestExecutor.js';
+import { ServerDirectory } from '../serverDirectory.js';
+import { FakeHomes } from './fakes/fakeHomes.js';
+import { FakeServers } from './fakes/fakeServers.js';
+import { buildRequest } from './fakes/requests.js';
+
+const SEEDS = [1, 2, 3, 4, 5, 6];
+const REQUESTS = 400;
+const BOOKINGS = 120;
+const MAXIMUM_SENDS = 6;
+const SETTLE_MILLISECONDS = 10_000;
+
+async function withClock(
+  body: (clock: ReturnType<typeof FakeTimers.install>) => Promise<void>,
+): Promise<void> {
+  const clock = FakeTimers.install({
+    now: 1_700_000_000_000,
+    toFake: ['setTimeout', 'clearTimeout', 'Date', 'performance'],
+  });
+  try {
+    await body(clock);
+  } finally {
+    clock.uninstall();
+  }
+}
+
+/** A UUID of version 7 for the current time. */
+function timedKey(sequence: number): string {
+  const time = Date.now().toString(16).padStart(12, '0');
+  const tail = sequence.toString(16).padStart(12, '0');
+  return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${tail}`;
+}
+
+describe('outcomes of requests without an idempotency key', () => {
+  for (const seed of SEEDS) {
+    it(`match what the servers ran, seed ${seed.toString()}`, () =>
+      withClock(async (clock) => {
+        const random = new RandomSource(seed);
+        const servers = new FakeServers(random);
+        const routing = {
+          assignment: () => undefined,
+          pooledServers: () => ['10.0.0.1:80', '10.0.0.2:80'],
+          mayRoute: () => true,
+          track: () => toDisposable(() => undefined),
+        };
+        const executor = new RequestExecutor(
+          await KeyHasher.create(),
+          routing,
+          servers,
+          new ServerDirectory(random),
+          new CrashGuard(),
+          silentLogger,
+        );
+        const outcomes = new Map<string, Outcome>();
+        for (let index = 0; index < REQUESTS; index += 1) {
+          const id = `request-${index.toString()}`;
+          const body = Buffer.from(id);
+          void executor.execute(buildRequest({ id, body })).then((outcome) => outcomes.set(id, outcome));
+          await clock.tickAsync(random.integer(1, 20));
+        }
+        await clock.tickAsync(SETTLE_MILLISECONDS);
+        assert.is(outcomes.size, REQUESTS);
+        for (const [id, outcome] of outcomes) {
+          const runs = servers.runsByRequest.get(id) ?? 0;
+          assert.ok(
+            isTruthful(outcome, runs),
+            `${id} was told ${outcome.kind} and ran ${runs.toString()} times`,
+          );
+        }
+      }));
+  }
+});
+
+function isTruthful(outcome: Outcome, runs: number): boolean {
+  switch (outcome.kind) {
+    case 'answered':
+      return runs === 1;
+    case 'not-run':
+      return runs === 0;
+    case 'unknown':
+      return runs <= 1;
+  }
+}
+
+interface Booking {
+  readonly idempotencyKey: string;
+  readonly told: Outcome[];
+}
+
+describe('bookings with an idempotency key', () => {
+  for (const seed of SEEDS) {
+    for (const kind of ['timed', 'opaque'] as const) {
+      it(`run at most once across resends, entry VMs and lost homes, ${kind} keys, seed ${seed.toString()}`, () =>
+        withClock(async (clock) => {
+          const random = new RandomSource(seed);
+          const servers = new FakeServers(random);
+          const homes = await FakeHomes.create(random, servers, 4);
+          const bookings: Booking[] = [];
+          const sendAgain = async (booking: Booking, index: number): Promise<void> => {
+            for (let send = 0; send < MAXIMUM_SENDS; send += 1) {
+              const id = `${index.toString()}-${send.toString()}`;
+              const request = buildRequest({ id, idempotencyKey: booking.idempotencyKey });
+              const outcome = await homes.execute(random.integer(0, 3), request);
+              booking.told.push(outcome);
+            }
+          };
+          for (let index = 0; index < BOOKINGS; index += 1) {
+            const idempotencyKey = kind === 'timed' ? timedKey(index) : `booking-${index.toString()}`;
+            const booking: Booking = { idempotencyKey, told: [] };
+            bookings.push(booking);
+            void sendAgain(booking, index);
+            if (index % 30 === 20) {
+              void (index % 60 === 20 ? homes.loseOwner() : homes.outliveOwner());
+            } else {
+              homes.renew();
+            }
+            await clock.tickAsync(random.integer(20, 400));
+          }
+          for (let elapsed = 0; elapsed < SETTLE_MILLISECONDS; elapsed += 200) {
+            homes.renew();
+            await clock.tickAsync(200);
+          }
+          let answered = 0;
+          for (const [index, { idempotencyKey, told }] of bookings.entries()) {
+            const runs = servers.runsByIdempotencyKey.get(idempotencyKey) ?? 0;
+            const kinds = told.map((outcome) => outcome.kind);
+            answered += kinds.includes('answered') ? 1 : 0;
+            assert.is(told.length, MAXIMUM_SENDS);
+            assert.ok(runs <= 1, `${idempotencyKey} ran ${runs.toString()} times`);
+            assert.ok(
+              !kinds.includes('answered') || runs === 1,
+              `${idempotencyKey} was answered but did not run`,
+            );
+            told.forEach((outcome, send) => {
+              const ids = told
+                .slice(0, send + 1)
+                .map((_told, earlier) => `${index.toString()}-${earlier.toString()}`);
+              const hasRun = ids.some((id) => servers.runsByRequest.has(id));
+              assert.ok(outcome.kind !== 'not-run' || !hasRun, `${idempotencyKey} ran but was told not-run`);
+            });
+          }
+          assert.ok(answered > 0);
+        }));
+    }
+  }
+});
--- /dev/null
+++ b/packages/gateway/src/common/test/crashGuard.test.ts
@@ -0,0 +1,73 @@
+import * as assert from 'uvu/assert';
+import { toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
+import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import { CrashGuard, findRefused, fingerprintOf } from '../crashGuard.js';
+import { RequestExecutor } from '../requestExecutor.js';
+import { ServerDirectory } from '../serverDirectory.js';
+import type { AttemptResult, ServerRequest } from '../serverTransport.js';
+import { buildRequest } from './fakes/requests.js';
+
+/** Promise of the design: servers lost to one request before it is refused. */
+const LOSS_LIMIT = 3;
+const RESENDS = 20;
+
+async function createExecutor(
+  guard: CrashGuard,
+  send: (request: ServerRequest) => AttemptResult,
+): Promise<RequestExecutor> {
+  const routing = {
+    assignment: () => undefined,
+    pooledServers: () => ['10.0.0.1:80'],
+    mayRoute: () => true,
+    track: () => toDisposable(() => undefined),
+  };
+  const transport = { send: (request: ServerRequest) => Promise.resolve(send(request)) };
+  const directory = new ServerDirectory(new RandomSource(1));
+  return new RequestExecutor(await KeyHasher.create(), routing, transport, directory, guard, silentLogger);
+}
+
+describe('a request that crashes servers', () => {
+  it('is refused as not run after a few losses', async () => {
+    let losses = 0;
+    const executor = await createExecutor(new CrashGuard(), () => {
+      losses += 1;
+      return { kind: 'lost', cause: 'connection-lost' };
+    });
+    for (let resend = 0; resend < RESENDS; resend += 1) {
+      await executor.execute(buildRequest({ id: resend.toString() }));
+    }
+    assert.is(losses, LOSS_LIMIT);
+    assert.equal(await executor.execute(buildRequest()), { kind: 'not-run', reason: 'crashes-servers' });
+  });
+
+  it('is refused everywhere once the losses of all entry VMs add up', () => {
+    const guards = [new CrashGuard(), new CrashGuard(), new CrashGuard()];
+    const fingerprint = fingerprintOf(buildRequest());
+    guards.forEach((guard) => {
+      guard.recordLoss(fingerprint);
+    });
+    const refused = findRefused(guards.map((guard) => guard.report()));
+    guards.forEach((guard) => {
+      guard.refuse(refused);
+    });
+    assert.ok(guards.every((guard) => guard.isRefused(fingerprint)));
+  });
+
+  it('does not take along a harmless request that was in flight at the same servers', async () => {
+    const guard = new CrashGuard();
+    const executor = await createExecutor(guard, (request) =>
+      request.body.includes('crash')
+        ? { kind: 'lost', cause: 'connection-lost' }
+        : { kind: 'answered', status: 200, headers: {}, body: Buffer.alloc(0) },
+    );
+    const harmless = buildRequest({ body: Buffer.from('harmless') });
+    for (let loss = 0; loss < RESENDS; loss += 1) {
+      guard.recordLoss(fingerprintOf(harmless));
+      await executor.execute(buildRequest({ body: Buffer.from('crash') }));
+      assert.is((await executor.execute(harmless)).kind, 'answered');
+    }
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/common/test/fakes/requests.ts
@@ -0,0 +1,34 @@
+import { type ServiceFile, serviceFileSchema } from '@hickoryhoist/configuration/common/serviceFile.js';
+import type { GatewayRequest } from '../../gatewayRequest.js';
+
+/** A pooled service whose requests must not double unless they are look-ups. */
+export const reservations: ServiceFile = serviceFileSchema.parse({
+  kind: 'pooled',
+  name: 'reservations',
+  pathPrefix: '/reservations',
+  servers: [
+    { address: '10.0.0.1:80', availabilityZone: 'a' },
+    { address: '10.0.0.2:80', availabilityZone: 'b' },
+  ],
+  deadlineMilliseconds: 400,
+});
+
+/** Builds a request; the fields given replace the defaults. */
+export function buildRequest(fields: Partial<GatewayRequest> = {}): GatewayRequest {
+  const method = fields.method ?? 'POST';
+  const idempotencyKey = fields.idempotencyKey;
+  return {
+    id: 'request',
+    service: reservations,
+    method,
+    target: '/reservations/new',
+    headers: idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey },
+    body: Buffer.from('ride'),
+    key: undefined,
+    idempotencyKey,
+    isIdempotent: method === 'GET',
+    deadlineAt: performance.now() + reservations.deadlineMilliseconds,
+    signal: new AbortController().signal,
+    ...fields,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/node/test/connectionPool.test.ts
@@ -0,0 +1,224 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import * as assert from 'uvu/assert';
+import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import type { AttemptResult, ServerRequest } from '../../common/serverTransport.js';
+import { ConnectionPool } from '../connectionPool.js';
+
+const BODY = 'two tickets';
+const ANSWER_BODY = '{"ok":true}';
+const DEADLINE_MILLISECONDS = 400;
+
+/** Serves raw sockets. `serve` is called with each request and the number of its connection. */
+async function withServer(
+  serve: (socket: Socket, requestText: string, connection: number) => void,
+  body: (address: string) => Promise<void>,
+): Promise<void> {
+  let connections = 0;
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    connections += 1;
+    const connection = connections;
+    let received = '';
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      received += chunk.toString('utf8');
+      if (isComplete(received)) {
+        const text = received;
+        received = '';
+        serve(socket, text, connection);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const address = server.address();
+  try {
+    await body(
+      `127.0.0.1:${typeof address === 'object' && address !== null ? address.port.toString() : '0'}`,
+    );
+  } finally {
+    sockets.forEach((socket) => {
+      socket.destroy();
+    });
+    server.close();
+  }
+}
+
+function isComplete(text: string): boolean {
+  const end = text.indexOf('\r\n\r\n');
+  const length = Number(/content-length: (\d+)/i.exec(text)?.[1] ?? '0');
+  return end !== -1 && text.length >= end + 4 + length;
+}
+
+function answerText(requestId: string): string {
+  const head = `HTTP/1.1 200 OK\r\ncontent-length: ${ANSWER_BODY.length.toString()}`;
+  return `${head}\r\nhickoryhoist-request-id: ${requestId}\r\n\r\n${ANSWER_BODY}`;
+}
+
+function buildRequest(address: string, fields: Partial<ServerRequest> = {}): ServerRequest {
+  return {
+    address,
+    method: 'POST',
+    target: '/bookings',
+    headers: {},
+    body: Buffer.from(BODY),
+    requestId: 'request-1',
+    isIdempotent: false,
+    timeoutMilliseconds: DEADLINE_MILLISECONDS,
+    answerLimitBytes: 1_000,
+    connectionLimit: 10,
+    signal: new AbortController().signal,
+    ...fields,
+  };
+}
+
+async function sendOnce(address: string, fields: Partial<ServerRequest> = {}): Promise<AttemptResult> {
+  const pool = new ConnectionPool();
+  try {
+    return await pool.send(buildRequest(address, fields));
+  } finally {
+    pool.dispose();
+  }
+}
+
+describe('an attempt over a real connection', () => {
+  it('is answered when the whole answer arrived', () =>
+    withServer(
+      (socket) => socket.write(answerText('request-1')),
+      async (address) => {
+        const result = await sendOnce(address);
+        assert.is(result.kind, 'answered');
+        assert.is(result.kind === 'answered' ? result.body.toString() : '', ANSWER_BODY);
+      },
+    ));
+
+  it('was not written when nobody listens', async () => {
+    let free = '';
+    await withServer(
+      () => undefined,
+      (address) => {
+        free = address;
+        return Promise.resolve();
+      },
+    );
+    assert.equal(await sendOnce(free), { kind: 'not-written' });
+  });
+
+  describe('that is cut off', () => {
+    const whole = answerText('request-1');
+    for (let length = 0; length < whole.length; length += 1) {
+      it(`after ${length.toString()} bytes of the answer is lost`, () =>
+        withServer(
+          (socket) => {
+            if (length === 0) {
+              socket.destroy();
+            } else {
+              socket.write(whole.slice(0, length), () => socket.destroy());
+            }
+          },
+          async (address) => {
+            assert.is((await sendOnce(address)).kind, 'lost');
+          },
+        ));
+    }
+  });
+
+  it('is lost when the answer belongs to another request', () =>
+    withServer(
+      (socket) => socket.write(answerText('request-2')),
+      async (address) => {
+        assert.equal(await sendOnce(address), { kind: 'lost', cause: 'answer-damaged' });
+      },
+    ));
+
+  it('is lost when the answer is larger than the limit', () =>
+    withServer(
+      (socket) => socket.write(answerText('request-1')),
+      async (address) => {
+        assert.equal(await sendOnce(address, { answerLimitBytes: 3 }), {
+          kind: 'lost',
+          cause: 'answer-too-large',
+        });
+      },
+    ));
+
+  it('is refused only by the header of the contract', () =>
+    withServer(
+      (socket) => socket.write('HTTP/1.1 421 No\r\nhickoryhoist-refusal: shed\r\ncontent-length: 0\r\n\r\n'),
+      async (address) => {
+        assert.equal(await sendOnce(address), { kind: 'refused', refusal: 'shed' });
+      },
+    ));
+
+  it('is answered by a server error that carries no refusal', () =>
+    withServer(
+      (socket) => socket.write('HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n'),
+      async (address) => {
+        assert.is((await sendOnce(address)).kind, 'answered');
+      },
+    ));
+
+  it('is lost at its deadline and closes its connection', () =>
+    withServer(
+      () => undefined,
+      async (address) => {
+        const pool = new ConnectionPool();
+        const result = await pool.send(buildRequest(address, { timeoutMilliseconds: 30 }));
+        assert.equal(result, { kind: 'lost', cause: 'deadline' });
+        assert.is(pool.openConnections(address), 0);
+        pool.dispose();
+      },
+    ));
+});
+
+describe('connections that go silent', () => {
+  it('do not take a checkout along: it is probed first and runs on a new connection', async () => {
+    let bookings = 0;
+    let isFirstSilent = false;
+    await withServer(
+      (socket, text, connection) => {
+        if (connection === 1 && isFirstSilent) {
+          return;
+        }
+        bookings += text.startsWith('POST') ? 1 : 0;
+        socket.write(answerText('request-1'));
+      },
+      async (address) => {
+        const pool = new ConnectionPool();
+        assert.is((await pool.send(buildRequest(address))).kind, 'answered');
+        isFirstSilent = true;
+        await new Promise((resolve) => setTimeout(resolve, 600));
+        const result = await pool.send(buildRequest(address, { timeoutMilliseconds: 10_000 }));
+        assert.is(result.kind, 'answered');
+        assert.is(bookings, 2);
+        assert.is(pool.openConnections(address), 1);
+        pool.dispose();
+      },
+    );
+  });
+
+  it('are retired together with the first one that was found silent', async () => {
+    let isOldSilent = false;
+    await withServer(
+      (socket, _text, connection) => {
+        if (connection <= 3 && isOldSilent) {
+          return;
+        }
+        setTimeout(() => socket.write(answerText('request-1')), 20);
+      },
+      async (address) => {
+        const pool = new ConnectionPool();
+        const lookUp = { isIdempotent: true, method: 'GET', body: Buffer.alloc(0) };
+        await Promise.all([1, 2, 3].map(() => pool.send(buildRequest(address, lookUp))));
+        assert.is(pool.openConnections(address), 3);
+        isOldSilent = true;
+        const silent = await pool.send(buildRequest(address, { ...lookUp, timeoutMilliseconds: 50 }));
+        assert.equal(silent, { kind: 'lost', cause: 'deadline' });
+        assert.is(pool.openConnections(address), 0);
+        const next = await pool.send(buildRequest(address, { ...lookUp, timeoutMilliseconds: 10_000 }));
+        assert.is(next.kind, 'answered');
+        pool.dispose();
+      },
+    );
+  });
+});
--- a/packages/ownership/src/common/assigner.ts
+++ b/packages/ownership/src/common/assigner.ts
@@ -7,7 +7,10 @@
 import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
 import type { Assignment, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
 import { diffAssignments } from '@hickoryhoist/protocol/common/assignmentDelta.js';
-import type { AssignerMessage } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
+import type {
+  AssignerMessage,
+  CrashSuspect,
+} from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
 import type { AssignmentPlanner } from './assignmentPlanner.js';
 import type { AssignmentStore, HeldTerm } from './assignmentStore.js';
 import { leaseTiming } from './leaseTiming.js';
@@ -36,6 +39,8 @@
   readonly logger: Logger;
   /** Servers that should be in the group now. */
   readonly wantedServers: (members: readonly Member[]) => readonly WantedServer[];
+  /** Adds up the suspects of all followers to the requests that every gateway must refuse. */
+  readonly findRefused: (suspects: readonly (readonly CrashSuspect[])[]) => readonly string[];
   /** Newest configuration, passed on to every follower. */
   readonly configuration: () => RevisedConfiguration | undefined;
 }
@@ -238,7 +243,14 @@
   }
 
   #send(session: FollowerSession, base?: Assignment): void {
-    const header = { term: this.term, isStoreReachable: this.#isStoreReachable, isRefused: false };
+    const header = {
+      term: this.term,
+      isStoreReachable: this.#isStoreReachable,
+      isRefused: false,
+      refusedFingerprints: this.#options.findRefused(
+        this.#members.liveSessions().map(({ crashSuspects }) => crashSuspects),
+      ),
+    };
     const bodies = [this.#configurationBody(session), this.#assignmentBody(session, base)];
     const due = bodies.filter((body) => body !== undefined);
     if (due.length === 0) {
--- a/packages/ownership/src/common/entryVmControl.ts
+++ b/packages/ownership/src/common/entryVmControl.ts
@@ -12,6 +12,7 @@
 import type {
   ConfirmLostReply,
   ConfirmLostRequest,
+  CrashSuspect,
   FetchStateReply,
   FollowerReport,
   LoadReport,
@@ -30,6 +31,7 @@
 import { OwnershipHolder } from './ownershipHolder.js';
 import type { FollowerConnection, FollowerListener, PeerClient, PeerHandler } from './peerClient.js';
 import { PlatformWatcher } from './platformWatcher.js';
+import { RouteLeases } from './routeLeases.js';
 import type { ServerClient } from './serverClient.js';
 import { wantedEntryVms, wantedServersOf } from './wantedServers.js';
 
@@ -51,6 +53,15 @@
   /** Control addresses of other entry VMs that are asked for state when the store does not answer. */
   readonly seedAddresses: readonly string[];
   readonly loadReport: (group: string) => LoadReport | undefined;
+  /** What the gateway of this entry VM knows of requests that crash servers. */
+  readonly crashes: CrashExchange;
+}
+
+/** Exchange with the gateway about requests that crash servers. */
+export interface CrashExchange {
+  report(): readonly CrashSuspect[];
+  findRefused(suspects: readonly (readonly CrashSuspect[])[]): readonly string[];
+  refuse(fingerprints: readonly string[]): void;
 }
 
 /** All control tasks of one entry VM. */
@@ -64,6 +75,8 @@
 
   readonly configuration: ConfigurationKeeper;
   readonly renewer: LeaseRenewer;
+  /** Right of this process to send to servers that check no fences. */
+  readonly routeLeases: RouteLeases;
   /** Ownership of idempotency keys by this process. */
   readonly holder: OwnershipHolder;
   readonly onDidChangeAssignment = this.#onDidChangeAssignment.event;
@@ -73,6 +86,13 @@
     this.#options = options;
     const { platform, logger, random, self, servers } = options;
     this.renewer = this.register(new LeaseRenewer(self, servers, logger));
+    this.routeLeases = this.register(
+      new RouteLeases(self, options.peers, () =>
+        this.groups.flatMap(({ follower }) =>
+          follower.assignment === undefined ? [] : [follower.assignment],
+        ),
+      ),
+    );
     this.holder = new OwnershipHolder({ incarnation: self.incarnation, now: () => performance.now() });
     this.configuration = this.register(
       new ConfigurationKeeper(new ConfigurationStore(platform), random, () => this.#urgency(), logger),
@@ -120,7 +140,13 @@
   acceptFollower(connection: FollowerConnection): FollowerListener {
     let listener: FollowerListener | undefined;
     const refuse = (): void => {
-      connection.send({ term: 0, isStoreReachable: false, isRefused: true, body: undefined });
+      connection.send({
+        term: 0,
+        isStoreReachable: false,
+        isRefused: true,
+        body: undefined,
+        refusedFingerprints: [],
+      });
     };
     return {
       onReport: (report: FollowerReport) => {
@@ -140,7 +166,7 @@
   }
 
   renewRoutes(request: RenewRoutesRequest): RenewRoutesReply {
-    return { incarnation: this.#options.self.incarnation, isGranted: request.routes.map(() => false) };
+    return this.renewer.renewRoutes(request);
   }
 
   fetchState(): FetchStateReply {
@@ -193,7 +219,7 @@
     sliceCount: number,
     wantedServers: (members: readonly Member[]) => readonly WantedServer[],
   ): void {
-    const { self, platform, servers, peers, logger, hasher } = this.#options;
+    const { self, platform, servers, peers, logger, hasher, crashes } = this.#options;
     const control = this.#groupStore.add(
       new GroupControl({
         group,
@@ -207,11 +233,13 @@
         position: () => this.#positionIn(group),
         wantedServers,
         configuration: () => this.configuration.current,
+        findRefused: (suspects) => crashes.findRefused(suspects),
         reportDetails: () => ({
           configurationRevision: this.configuration.current?.revision ?? 0,
           isLeaving: this.#isLeaving,
           servers: this.renewer.report(group),
           load: this.#options.loadReport(group),
+          crashSuspects: group === ENTRY_VM_GROUP ? [...crashes.report()] : [],
         }),
       }),
     );
@@ -222,6 +250,13 @@
         this.#onDidChangeAssignment.fire(assignment);
       }),
     );
+    if (group === ENTRY_VM_GROUP) {
+      this.#groupStore.add(
+        control.follower.onDidReceiveRefusals((fingerprints) => {
+          crashes.refuse(fingerprints);
+        }),
+      );
+    }
     this.#groupStore.add(
       control.follower.onDidReceiveConfiguration(({ revision, snapshot }) => {
         this.configuration.offerSerialized(revision, snapshot);
--- a/packages/ownership/src/common/follower.ts
+++ b/packages/ownership/src/common/follower.ts
@@ -14,7 +14,10 @@
 import type { FollowStream, PeerClient } from './peerClient.js';
 
 /** Parts of a report that the follower itself does not know. */
-export type ReportDetails = Pick<FollowerReport, 'configurationRevision' | 'isLeaving' | 'servers' | 'load'>;
+export type ReportDetails = Pick<
+  FollowerReport,
+  'configurationRevision' | 'isLeaving' | 'servers' | 'load' | 'crashSuspects'
+>;
 
 /** What a follower needs from its surroundings. */
 export interface FollowerOptions {
@@ -32,6 +35,7 @@
 export class Follower extends DisposableBase {
   readonly #options: FollowerOptions;
   readonly #onDidChangeAssignment = this.register(new Emitter<Assignment>());
+  readonly #onDidReceiveRefusals = this.register(new Emitter<readonly string[]>());
   readonly #onDidReceiveConfiguration = this.register(new Emitter<Configuration>());
   #assignment: Assignment | undefined;
   #assignerAddress: string | undefined;
@@ -42,6 +46,8 @@
   #isStoreReachable = false;
 
   readonly onDidChangeAssignment = this.#onDidChangeAssignment.event;
+  /** Fires with the fingerprints of the requests that every gateway must refuse. */
+  readonly onDidReceiveRefusals = this.#onDidReceiveRefusals.event;
   readonly onDidReceiveConfiguration = this.#onDidReceiveConfiguration.event;
 
   constructor(options: FollowerOptions) {
@@ -164,6 +170,7 @@
     this.#term = message.term;
     this.#lastHeardAt = performance.now();
     this.#isStoreReachable = message.isStoreReachable;
+    this.#onDidReceiveRefusals.fire(message.refusedFingerprints);
     switch (message.body?.$case) {
       case undefined:
         break;
--- a/packages/ownership/src/common/groupControl.ts
+++ b/packages/ownership/src/common/groupControl.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
 import type { EntryVm } from '@hickoryhoist/protocol/common/assignment.js';
+import type { CrashSuspect } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
 import { Assigner } from './assigner.js';
 import type { AssignmentPlanner } from './assignmentPlanner.js';
 import type { AssignmentStore, HeldTerm, TermRecord } from './assignmentStore.js';
@@ -26,6 +27,7 @@
   readonly wantedServers: (members: readonly Member[]) => readonly WantedServer[];
   readonly configuration: () => RevisedConfiguration | undefined;
   readonly reportDetails: () => ReportDetails;
+  readonly findRefused: (suspects: readonly (readonly CrashSuspect[])[]) => readonly string[];
 }
 
 /** Everything that one entry VM does for one group: it follows, stands for election, and may be the assigner. */
--- a/packages/ownership/src/common/leaseRenewer.ts
+++ b/packages/ownership/src/common/leaseRenewer.ts
@@ -4,12 +4,15 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { Assignment, EntryVm, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
 import type {
+  RenewRoutesReply,
+  RenewRoutesRequest,
   ServerReport,
   WithdrawReply,
   WithdrawRequest,
 } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
 import type { OwnershipState } from '@hickoryhoist/protocol/common/serverMessages.js';
 import { leaseTiming, SAFE_LAPSE_MILLISECONDS } from './leaseTiming.js';
+import { RouteGrants } from './routeGrants.js';
 import type { ServerClient } from './serverClient.js';
 
 interface Duty {
@@ -17,6 +20,7 @@
   readonly server: ServerRecord;
   readonly startedAt: number;
   readonly loop: Disposable;
+  readonly routes: RouteGrants;
   lastAnswerAt: number | undefined;
   state: OwnershipState | undefined;
 }
@@ -31,6 +35,7 @@
   readonly #logger: Logger;
   readonly #duties = new Map<string, Duty>();
   readonly #withdrawnFences = new Map<string, number>();
+  readonly #newestRevisions = new Map<string, number>();
   readonly #loops = this.register(new DisposableStore());
 
   constructor(self: EntryVm, servers: ServerClient, logger: Logger) {
@@ -42,6 +47,7 @@
 
   /** Takes up and ends duties so that they match an assignment. */
   follow(assignment: Assignment): void {
+    this.#newestRevisions.set(assignment.group, assignment.revision);
     const wanted = new Map(
       assignment.servers
         .filter((server) => this.#isNamed(server) && !this.#isWithdrawn(assignment.group, server))
@@ -71,6 +77,20 @@
     return { incarnation: this.#self.incarnation, lapseMilliseconds: remainingLease(duty) };
   }
 
+  /** Answers gateways that ask for the right to send to servers which check no fences. */
+  renewRoutes(request: RenewRoutesRequest): RenewRoutesReply {
+    const isGranted = request.routes.map((route) => {
+      const duty = this.#duties.get(dutyKey(route.group, route.serverAddress));
+      const newestRevision = this.#newestRevisions.get(route.group) ?? 0;
+      return (
+        duty?.server.fenceSupport === 'unchecked' &&
+        duty.server.renewerFence === route.renewerFence &&
+        duty.routes.request(request.entryVmId, route, newestRevision)
+      );
+    });
+    return { incarnation: this.#self.incarnation, isGranted };
+  }
+
   /** States how long each server of a group has been silent. */
   report(group: string): readonly ServerReport[] {
     const now = performance.now();
@@ -82,13 +102,13 @@
         silentMilliseconds: Math.round(now - (duty.lastAnswerAt ?? duty.startedAt)),
         incarnation: duty.state?.incarnation ?? '',
         isLeaving: duty.state?.isLeaving ?? false,
+        settledRevision: duty.routes.settledRevision(this.#newestRevisions.get(group) ?? 0),
       }));
   }
 
   #isNamed(server: ServerRecord): boolean {
     return (
       server.phase !== 'lost' &&
-      server.fenceSupport === 'checked' &&
       server.renewers.some(
         ({ id, incarnation }) => id === this.#self.id && incarnation === this.#self.incarnation,
       )
@@ -112,6 +132,7 @@
       server,
       startedAt: performance.now(),
       loop: this.#loops.add(loop),
+      routes: new RouteGrants(),
       lastAnswerAt: undefined,
       state: undefined,
     };
@@ -138,7 +159,11 @@
       },
       leaseTiming.renewalTimeoutMilliseconds,
     );
-    if (answer.kind === 'unchecked' || this.#duties.get(dutyKey(group, server.address)) !== duty) {
+    if (this.#duties.get(dutyKey(group, server.address)) !== duty) {
+      return;
+    }
+    if (answer.kind === 'unchecked') {
+      duty.lastAnswerAt = performance.now();
       return;
     }
     const isFirstAcceptance = answer.state.accepted && duty.state?.accepted !== true;
@@ -168,6 +193,9 @@
 }
 
 function remainingLease(duty: Duty): number {
+  if (duty.server.fenceSupport === 'unchecked') {
+    return duty.routes.remainingMilliseconds();
+  }
   if (duty.lastAnswerAt === undefined || duty.state?.accepted !== true) {
     return SAFE_LAPSE_MILLISECONDS;
   }
--- a/packages/ownership/src/common/memberRegistry.ts
+++ b/packages/ownership/src/common/memberRegistry.ts
@@ -1,5 +1,6 @@
 import type { EntryVm } from '@hickoryhoist/protocol/common/assignment.js';
 import type {
+  CrashSuspect,
   FollowerReport,
   LoadReport,
   ServerReport,
@@ -20,6 +21,7 @@
   configurationRevision: number;
   servers: readonly ServerReport[];
   load: LoadReport | undefined;
+  crashSuspects: readonly CrashSuspect[];
 }
 
 /** The followers that are connected to an assigner. */
@@ -38,6 +40,7 @@
       configurationRevision: 0,
       servers: [],
       load: undefined,
+      crashSuspects: [],
     };
     this.#sessions.add(session);
     return session;
@@ -55,6 +58,7 @@
     session.configurationRevision = report.configurationRevision;
     session.servers = report.servers;
     session.load = report.load;
+    session.crashSuspects = report.crashSuspects;
     const isOverdue = performance.now() - session.sentAt > leaseTiming.peerSilenceMilliseconds;
     if (report.appliedRevision < session.sentRevision && isOverdue) {
       session.sentRevision = report.appliedRevision;
--- a/packages/ownership/src/common/ownershipHolder.ts
+++ b/packages/ownership/src/common/ownershipHolder.ts
@@ -45,6 +45,10 @@
     return this.#leaseEndMilliseconds;
   }
 
+  get incarnation(): string {
+    return this.#incarnation;
+  }
+
   get epoch(): number {
     return this.#grant?.epoch ?? 0;
   }
--- a/packages/ownership/src/common/serverContact.ts
+++ b/packages/ownership/src/common/serverContact.ts
@@ -95,7 +95,7 @@
   async #sendWhatIsDue(): Promise<void> {
     const assignment = this.#assignment;
     const server = assignment === undefined ? undefined : findServerByAddress(assignment, this.#address);
-    if (assignment === undefined || server === undefined || server.phase === 'lost') {
+    if (assignment === undefined || server === undefined || !mayBeGranted(server)) {
       await this.#describeWhenDue();
       return;
     }
@@ -145,3 +145,7 @@
     }
   }
 }
+
+function mayBeGranted({ phase, fenceSupport }: ServerRecord): boolean {
+  return phase !== 'lost' && fenceSupport === 'checked';
+}
--- a/packages/ownership/src/common/serverObserver.ts
+++ b/packages/ownership/src/common/serverObserver.ts
@@ -16,6 +16,7 @@
   readonly #contact: ServerContact;
   readonly #startedAt = performance.now();
   #withdrawal: Withdrawal | undefined;
+  #retirement: Withdrawal | undefined;
 
   constructor(address: string, group: string, servers: ServerClient, peers: PeerClient) {
     super();
@@ -27,7 +28,7 @@
 
   /** Entry VMs whose word is missing before the server's keys may move. */
   get waitingFor(): readonly EntryVm[] {
-    return this.#withdrawal?.waitingFor ?? [];
+    return [...(this.#withdrawal?.waitingFor ?? []), ...(this.#retirement?.waitingFor ?? [])];
   }
 
   follow(assignment: Assignment): void {
@@ -35,11 +36,42 @@
   }
 
   confirmLost(entryVmId: string, incarnation: string): boolean {
-    return this.#withdrawal?.confirmLost(entryVmId, incarnation) ?? false;
+    const withdrawals = [this.#withdrawal, this.#retirement];
+    return withdrawals.map((withdrawal) => withdrawal?.confirmLost(entryVmId, incarnation)).includes(true);
+  }
+
+  /** Proves that replaced renewers of a server which checks no fences grant no routes any more. */
+  #updateRetirement(record: ServerRecord | undefined): void {
+    const isNeeded = record?.fenceSupport === 'unchecked' && record.possibleRenewers.length > 0;
+    if (record === undefined || !isNeeded || this.#retirement?.renewerFence !== record.renewerFence - 1) {
+      this.#retirement?.dispose();
+      this.#retirement = undefined;
+    }
+    if (record !== undefined && isNeeded) {
+      const replaced = { ...record, renewers: [], renewerFence: record.renewerFence - 1 };
+      this.#retirement ??= new Withdrawal(this.#group, replaced, this.#peers);
+    }
+  }
+
+  #adoptedRenewerFence(record: ServerRecord | undefined): number {
+    const state = this.#contact.state;
+    if (record?.fenceSupport === 'unchecked') {
+      return this.#retirement?.isLapsed === true ? record.renewerFence : 0;
+    }
+    return state?.epoch === record?.epoch ? (state?.renewerFence ?? 0) : 0;
+  }
+
+  #drainedRevision(record: ServerRecord | undefined, reports: FollowerSession['servers']): number {
+    if (record?.fenceSupport !== 'unchecked') {
+      return this.#contact.drainedRevision;
+    }
+    const isComplete = reports.length === record.renewers.length && record.possibleRenewers.length === 0;
+    return isComplete ? Math.min(...reports.map(({ settledRevision }) => settledRevision)) : 0;
   }
 
   /** Begins or ends a withdrawal according to the newest reports. */
   update(record: ServerRecord | undefined, sessions: readonly FollowerSession[]): void {
+    this.#updateRetirement(record);
     const isObsolete =
       this.#withdrawal !== undefined && this.#withdrawal.renewerFence !== record?.renewerFence;
     if (isObsolete || record?.phase === 'lost') {
@@ -63,8 +95,8 @@
       isLeaving: state?.isLeaving === true || reports.some(({ isLeaving }) => isLeaving),
       isAnswering: this.#isAnswering(),
       isSilent: record !== undefined && this.#isSilent(record, sessions),
-      drainedRevision: this.#contact.drainedRevision,
-      adoptedRenewerFence: state?.epoch === record?.epoch ? (state?.renewerFence ?? 0) : 0,
+      drainedRevision: this.#drainedRevision(record, reports),
+      adoptedRenewerFence: this.#adoptedRenewerFence(record),
       withdrawingFence: this.#withdrawal?.renewerFence ?? 0,
       lapsedFence: this.#withdrawal?.isLapsed === true ? this.#withdrawal.renewerFence : 0,
     };
@@ -72,6 +104,7 @@
 
   override dispose(): void {
     this.#endWithdrawal();
+    this.#retirement?.dispose();
     super.dispose();
   }
 
--- a/packages/ownership/src/common/test/fakes/fakeRegion.ts
+++ b/packages/ownership/src/common/test/fakes/fakeRegion.ts
@@ -25,6 +25,8 @@
   readonly entryVmZones: readonly string[];
   readonly serverZones: readonly string[];
   readonly sliceCount: number;
+  /** Whether the servers check fences; they do unless this is false. */
+  readonly checksFences?: boolean;
   readonly loadReport?: (entryVm: string, group: string) => LoadReport | undefined;
 }
 
@@ -46,7 +48,7 @@
     this.network = new FakeNetwork(this.random);
     this.platform = new FakePlatform(this.network);
     this.servers = options.serverZones.map(
-      (zone, index) => new FakeServer(`server-${index.toString()}`, zone, this.random),
+      (zone, index) => new FakeServer(`server-${index.toString()}`, zone, this.random, options.checksFences),
     );
   }
 
@@ -103,6 +105,7 @@
         },
       },
       seedAddresses: this.entryVmIds,
+      crashes: { report: () => [], findRefused: () => [], refuse: () => undefined },
       loadReport: (group) => this.#options.loadReport?.(id, group),
     });
     this.#entryVms.set(id, control);
--- a/packages/ownership/src/common/test/fakes/fakeServer.ts
+++ b/packages/ownership/src/common/test/fakes/fakeServer.ts
@@ -17,7 +17,12 @@
   #isUp = true;
   #isLeaving = false;
 
-  constructor(address: string, availabilityZone: string, random: RandomSource) {
+  constructor(
+    address: string,
+    availabilityZone: string,
+    random: RandomSource,
+    readonly checksFences = true,
+  ) {
     this.address = address;
     this.availabilityZone = availabilityZone;
     this.#random = random;
@@ -58,6 +63,9 @@
   }
 
   handle(order: OwnershipOrder): OrderAnswer {
+    if (!this.checksFences) {
+      return { kind: 'unchecked' };
+    }
     return { kind: 'checked', state: this.#holder.handle(order) };
   }
 
--- a/packages/ownership/src/common/test/fakes/ownershipOracle.ts
+++ b/packages/ownership/src/common/test/fakes/ownershipOracle.ts
@@ -1,7 +1,14 @@
 import { InvariantError } from '@hickoryhoist/base/common/errors.js';
 import type { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
 import { sliceOf } from '@hickoryhoist/base/common/keyHash.js';
-import { assignmentSchema } from '@hickoryhoist/protocol/common/assignment.js';
+import {
+  assignmentSchema,
+  findServer,
+  ownerOfUnit,
+  unitName,
+  unitOfKey,
+} from '@hickoryhoist/protocol/common/assignment.js';
+import type { EntryVmControl } from '../../entryVmControl.js';
 import type { FakeRegion } from './fakeRegion.js';
 import { SERVICE } from './fakeRegion.js';
 
@@ -36,7 +43,12 @@
     this.#checkConfigurations();
   }
 
+  /** Servers that own a key; for servers that check no fences, those to which any entry VM would send. */
   ownersOf(keyHash: string): readonly string[] {
+    if (this.#region.servers.some(({ checksFences }) => !checksFences)) {
+      const targets = [...this.#region.entryVms.values()].map((control) => targetOf(control, keyHash));
+      return [...new Set(targets.filter((address) => address !== undefined))];
+    }
     return this.#region.servers.filter((server) => server.owns(keyHash)).map(({ address }) => address);
   }
 
@@ -108,3 +120,15 @@
   }
   return [...found.values()];
 }
+
+function targetOf(control: EntryVmControl, keyHash: string): string | undefined {
+  const assignment = control.assignment(SERVICE);
+  if (assignment === undefined) {
+    return undefined;
+  }
+  const unit = unitOfKey(assignment, keyHash);
+  const server = findServer(assignment, ownerOfUnit(assignment, unit));
+  const isReleasing = assignment.releases.some((release) => unitName(release.unit) === unitName(unit));
+  const maySend = server !== undefined && !isReleasing && control.routeLeases.mayRoute(SERVICE, server);
+  return maySend ? server.address : undefined;
+}
--- a/packages/ownership/src/common/test/randomisedOwnership.test.ts
+++ b/packages/ownership/src/common/test/randomisedOwnership.test.ts
@@ -85,23 +85,23 @@
   await run.advance(RECOVERY_MILLISECONDS);
 }
 
+async function runFaults(seed: number, checksFences: boolean): Promise<void> {
+  const zones = { entryVmZones: ['a', 'b', 'c', 'a'], serverZones: ['a', 'b', 'c', 'a'] };
+  await runRegion({ ...zones, seed, sliceCount: 12, checksFences }, async (run) => {
+    for (let step = 0; step < STEPS; step += 1) {
+      const name = run.region.random.pick(Object.keys(faults));
+      await faults[name]?.(run);
+      await run.advance(run.region.random.integer(SHORTEST_STEP_MILLISECONDS, LONGEST_STEP_MILLISECONDS));
+    }
+    await recover(run);
+    const unowned = run.oracle.keyHashes.filter((key) => run.oracle.ownersOf(key).length !== 1);
+    assert.equal(unowned, []);
+  });
+}
+
 describe('sole ownership under random faults', () => {
   for (const seed of SEEDS) {
-    it(`never shows two owners and recovers, seed ${seed.toString()}`, () =>
-      runRegion(
-        { seed, entryVmZones: ['a', 'b', 'c', 'a'], serverZones: ['a', 'b', 'c', 'a'], sliceCount: 12 },
-        async (run) => {
-          for (let step = 0; step < STEPS; step += 1) {
-            const name = run.region.random.pick(Object.keys(faults));
-            await faults[name]?.(run);
-            await run.advance(
-              run.region.random.integer(SHORTEST_STEP_MILLISECONDS, LONGEST_STEP_MILLISECONDS),
-            );
-          }
-          await recover(run);
-          const unowned = run.oracle.keyHashes.filter((key) => run.oracle.ownersOf(key).length !== 1);
-          assert.equal(unowned, []);
-        },
-      ));
+    it(`never shows two owners and recovers, seed ${seed.toString()}`, () => runFaults(seed, true));
+    it(`holds for servers that check no fences, seed ${seed.toString()}`, () => runFaults(seed, false));
   }
 });
--- a/packages/ownership/src/common/test/soleOwnership.test.ts
+++ b/packages/ownership/src/common/test/soleOwnership.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { PLATFORM } from './fakes/fakePlatform.js';
-import { SERVICE } from './fakes/fakeRegion.js';
+import { addressOnWire, SERVICE } from './fakes/fakeRegion.js';
 import { type RegionRun, runRegion } from './fakes/runRegion.js';
 
 const SLICE_COUNT = 24;
@@ -28,7 +28,9 @@
 
 function ownerOfFirstKey({ oracle, region }: RegionRun) {
   const address = oracle.ownersOf(oracle.keyHashes[0] ?? '')[0];
-  const server = region.servers.find((other) => other.address === address);
+  const server = region.servers.find(
+    (other) => other.address === address || addressOnWire(other.address) === address,
+  );
   if (server === undefined) {
     throw new RangeError('the first key has no owner');
   }
@@ -198,6 +200,20 @@
         assert.is(unownedKeys(run), 0);
       }));
 
+    for (let healAfter = 600; healAfter <= 1_800; healAfter += 100) {
+      it(`that heals after ${healAfter.toString()} ms leads to no second owner`, () =>
+        runRegion(shape, async (run) => {
+          const server = ownerOfFirstKey(run);
+          run.region.entryVmIds.forEach((id) => {
+            run.region.network.cut(id, server.address);
+          });
+          await run.advance(healAfter);
+          run.region.network.mendAll();
+          await run.advance(4_000);
+          assert.is(unownedKeys(run), 0);
+        }));
+    }
+
     it('between an entry VM and the store leaves the others in charge', () =>
       runRegion(shape, async (run) => {
         run.region.network.cut(assignerId(run), PLATFORM);
@@ -206,4 +222,26 @@
         assert.is(unownedKeys(run), 0);
       }));
   });
+
+  describe('of servers that check no fences', () => {
+    const unchecked = { ...shape, checksFences: false };
+
+    it('moves the keys of a lost server within 3 s', () =>
+      runRegion(unchecked, async (run) => {
+        ownerOfFirstKey(run).kill();
+        await run.advance(6_000);
+        assert.is(unownedKeys(run), 0);
+        assert.ok(run.oracle.longestUnownedMilliseconds <= SERVED_AGAIN_MILLISECONDS);
+      }));
+
+    it('waits for an entry VM that knows only the older assignment', () =>
+      runRegion(unchecked, async (run) => {
+        const stale = run.region.entryVmIds.find((id) => id !== assignerId(run)) ?? '';
+        run.region.network.cut(stale, assignerId(run));
+        run.region.network.cut(stale, PLATFORM);
+        ownerOfFirstKey(run).kill();
+        await run.advance(8_000);
+        assert.is(unownedKeys(run), 0);
+      }));
+  });
 });
