Prove configuration and drain, and mend three faults that the proofs found

Racing publications lost an accepted change (fast-check, counterexample: "upload" and "catalogue" published at once). An entry VM cut off from everything served an old configuration for ever. Ruled out: a fault of the compare-and-set (the revisions were distinct); a longer drain. Change: objects carry the revision in their name; servers report the keys that still drain, and every other unit moves on; an entry VM that heard neither the store nor a peer for 8 s answers "not run" and is not ready. Conclusion: accepted changes survive races and lost answers; a drain waits only for the keys in flight.

--- a/packages/configuration/src/common/configurationStore.ts
+++ b/packages/configuration/src/common/configurationStore.ts
@@ -87,7 +87,7 @@
     publicationId: string = randomUUID(),
   ): Promise<AcceptResult> {
     const revision = (head.row?.revision ?? 0) + 1;
-    const objectName = `configuration/${publicationId}`;
+    const objectName = `configuration/${revision.toString()}-${publicationId}`;
     await this.#platform.objects.put(objectName, JSON.stringify(snapshot));
     const recentPublications = [
       { id: publicationId, revision },
--- a/packages/configuration/src/common/publisher.ts
+++ b/packages/configuration/src/common/publisher.ts
@@ -71,19 +71,6 @@
   }
 }
 
-/** Computes the changes that turn the current snapshot into the given set of files. */
-export function changesTowards(
-  current: ConfigurationSnapshot | undefined,
-  wanted: readonly ServiceFile[],
-): readonly ServiceChange[] {
-  const before = new Map(current?.services.map((service) => [service.name, service]));
-  const after = new Map(wanted.map((service) => [service.name, service]));
-  const names = [...new Set([...before.keys(), ...after.keys()])];
-  return names
-    .map((name) => ({ name, before: before.get(name), after: after.get(name) }))
-    .filter((change) => !isSameContent(change.before, change.after));
-}
-
 function applyChanges(
   current: ConfigurationSnapshot | undefined,
   changes: readonly ServiceChange[],
--- a/packages/daemon/src/node/entryVmProcess.ts
+++ b/packages/daemon/src/node/entryVmProcess.ts
@@ -85,7 +85,7 @@
       transport,
     });
     const metrics = new ServiceMetrics();
-    const configuration = () => this.#control.configuration.current;
+    const configuration = () => (this.#control.isIsolated ? undefined : this.#control.configuration.current);
     const execute = (request: GatewayRequest): Promise<Outcome> =>
       request.isIdempotent || request.idempotencyKey === undefined
         ? executor.execute(request)
@@ -129,7 +129,12 @@
   /** Whether the platform's balancer should send callers here. */
   get isReady(): boolean {
     const hasConfiguration = this.#control.configuration.current !== undefined;
-    return hasConfiguration && !this.#isStopping && this.#control.assignment(ENTRY_VM_GROUP) !== undefined;
+    return (
+      hasConfiguration &&
+      !this.#isStopping &&
+      !this.#control.isIsolated &&
+      this.#control.assignment(ENTRY_VM_GROUP) !== undefined
+    );
   }
 
   /** Planned stop: gives up keys and duties, answers every request in flight, and closes the ports. */
--- a/packages/ownership/src/common/assignmentPlanner.ts
+++ b/packages/ownership/src/common/assignmentPlanner.ts
@@ -2,7 +2,7 @@
 import type { Assignment, EntryVm, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
 import { AssignmentDraft } from './assignmentDraft.js';
 import type { BalancePolicy } from './balancePolicy.js';
-import type { Observations, ServerObservation, WantedServer } from './observations.js';
+import { hasGivenUp, type Observations, type ServerObservation, type WantedServer } from './observations.js';
 import { selectRenewers } from './renewerSelection.js';
 
 /** Decides the next revision of an assignment. It is pure: the same inputs give the same draft. */
@@ -171,7 +171,7 @@
     const isDrained =
       owner !== undefined &&
       (owner.epoch > sinceRevision ||
-        (observation !== undefined && observation.drainedRevision >= sinceRevision));
+        (observation !== undefined && hasGivenUp(observation, unit, sinceRevision, draft.owners.length)));
     if (target?.phase !== 'serving') {
       draft.cancelRelease(unit);
     } else if (isDrained && owner.phase !== 'lost') {
--- a/packages/ownership/src/common/configurationKeeper.ts
+++ b/packages/ownership/src/common/configurationKeeper.ts
@@ -33,6 +33,7 @@
   #current: RevisedConfiguration | undefined;
   #lastReadAt = Number.NEGATIVE_INFINITY;
   #jitter = 1;
+  #lastContactAt = Number.NEGATIVE_INFINITY;
 
   readonly onDidChange = this.#onDidChange.event;
 
@@ -56,6 +57,11 @@
     return this.#current;
   }
 
+  /** Time of the newest answer of the store, on the runtime's monotonic clock. */
+  get lastContactAt(): number {
+    return this.#lastContactAt;
+  }
+
   /** Takes a configuration from any source. @returns false when it is not newer than the known one. */
   offer(configuration: RevisedConfiguration): boolean {
     if (this.isDisposed() || configuration.revision <= (this.#current?.revision ?? 0)) {
@@ -82,6 +88,7 @@
     this.#lastReadAt = performance.now();
     this.#jitter = 0.75 + this.#random.fraction() / 2;
     const head = await this.#store.readHead();
+    this.#lastContactAt = performance.now();
     if (head.row !== undefined && head.row.revision > (this.#current?.revision ?? 0)) {
       this.offer(await this.#store.readSnapshot(head.row));
     }
--- a/packages/ownership/src/common/entryVmControl.ts
+++ b/packages/ownership/src/common/entryVmControl.ts
@@ -40,6 +40,10 @@
 
 const ENTRY_VM_SLICE_COUNT = 256;
 const BOOTSTRAP_PAUSE_MILLISECONDS = 500;
+/** Time without contact to another process after which peers are asked for state. */
+const PEER_CONTACT_MILLISECONDS = 3_000;
+/** Time without any contact after which this process must not act on its configuration any more. */
+const ISOLATION_MILLISECONDS = 8_000;
 
 /** What the control of an entry VM needs from its surroundings. */
 export interface EntryVmControlOptions {
@@ -71,6 +75,8 @@
   readonly #groupStore = this.register(new DisposableStore());
   readonly #watcher: PlatformWatcher;
   readonly #onDidChangeAssignment = this.register(new Emitter<Assignment>());
+  readonly #startedAt = performance.now();
+  #lastPeerContactAt = Number.NEGATIVE_INFINITY;
   #isLeaving = false;
 
   readonly configuration: ConfigurationKeeper;
@@ -123,6 +129,19 @@
     return [...this.#groups.values()];
   }
 
+  /**
+   * Whether this process has heard neither the store nor another entry VM for so long that a newer
+   * configuration may be in force everywhere else.
+   */
+  get isIsolated(): boolean {
+    const lastContactAt = Math.max(
+      this.#startedAt,
+      this.#lastPeerContactAt,
+      this.configuration.lastContactAt,
+    );
+    return this.#knowsOthers() && performance.now() - lastContactAt > ISOLATION_MILLISECONDS;
+  }
+
   assignment(group: string): Assignment | undefined {
     return this.#groups.get(group)?.follower.assignment;
   }
@@ -191,6 +210,13 @@
     return { groups: confirmed.map(([group]) => group) };
   }
 
+  #knowsOthers(): boolean {
+    const others = this.assignment(ENTRY_VM_GROUP)?.servers.filter(
+      ({ address }) => address !== this.#options.self.requestAddress,
+    );
+    return (others?.length ?? 0) > 0;
+  }
+
   #urgency(): ReadUrgency {
     const entryVms = this.#groups.get(ENTRY_VM_GROUP);
     if (entryVms?.assigner !== undefined) {
@@ -272,9 +298,15 @@
     return others.filter(({ address }) => rendezvousScore(hasher, group, address) > ownScore).length;
   }
 
-  /** Asks peers for state while an assigner is not heard, for example during an outage of the store. */
+  /** Asks peers for state while an assigner is not heard, or while this process hears only itself. */
   async #bootstrap(): Promise<void> {
-    if (this.groups.every(({ follower }) => follower.hearsAssigner)) {
+    const { controlAddress } = this.#options.self;
+    const heard = this.groups.filter(({ follower }) => follower.hearsAssigner);
+    if (heard.some(({ follower }) => follower.assignerAddress !== controlAddress)) {
+      this.#lastPeerContactAt = performance.now();
+    }
+    const isUncertain = performance.now() - this.#lastPeerContactAt > PEER_CONTACT_MILLISECONDS;
+    if (heard.length === this.#groups.size && !isUncertain) {
       return;
     }
     const address = this.#seedAddress();
@@ -282,6 +314,7 @@
       return;
     }
     const state = await this.#options.peers.fetchState(address);
+    this.#lastPeerContactAt = performance.now();
     if (state.configuration !== undefined) {
       this.configuration.offerSerialized(state.configuration.revision, state.configuration.snapshot);
     }
--- a/packages/ownership/src/common/observations.ts
+++ b/packages/ownership/src/common/observations.ts
@@ -1,4 +1,5 @@
-import type { EntryVm } from '@hickoryhoist/protocol/common/assignment.js';
+import { sliceOf } from '@hickoryhoist/base/common/keyHash.js';
+import type { EntryVm, Unit } from '@hickoryhoist/protocol/common/assignment.js';
 
 /** A server that should be part of the group, from the service file or the platform's VM list. */
 export interface WantedServer {
@@ -20,8 +21,10 @@
   readonly isAnswering: boolean;
   /** The renewers' reports agree that the server has been silent for longer than the suspicion time. */
   readonly isSilent: boolean;
-  /** Newest revision whose grant the server acknowledged, with nothing left to drain. */
-  readonly drainedRevision: number;
+  /** Newest revision whose grant the server acknowledged, or that all its gateways act on. */
+  readonly acknowledgedRevision: number;
+  /** Hashes of keys that the acknowledged grant took away and that still have requests in flight. */
+  readonly drainingKeys: readonly string[];
   /** Highest renewer fence that the server is known to have adopted. */
   readonly adoptedRenewerFence: number;
   /** Renewer fence for which withdrawals have begun, or 0. */
@@ -55,3 +58,21 @@
   /** The assigner has held its term for long enough that every follower should have connected. */
   readonly isSettled: boolean;
 }
+
+/** Whether a server has given up a unit whose release was decided in a revision. */
+export function hasGivenUp(
+  observation: ServerObservation,
+  unit: Unit,
+  sinceRevision: number,
+  sliceCount: number,
+): boolean {
+  const isInUnit = (keyHash: string): boolean => {
+    switch (unit.unit.$case) {
+      case 'slice':
+        return sliceOf(keyHash, sliceCount) === unit.unit.value;
+      case 'pin':
+        return keyHash === unit.unit.value;
+    }
+  };
+  return observation.acknowledgedRevision >= sinceRevision && !observation.drainingKeys.some(isInUnit);
+}
--- a/packages/ownership/src/common/ownershipHolder.ts
+++ b/packages/ownership/src/common/ownershipHolder.ts
@@ -162,16 +162,8 @@
       epoch: this.epoch,
       revision: this.#grant?.revision ?? 0,
       renewerFence: this.#renewerFence,
-      drainingRequests: this.#countDraining(),
+      drainingKeys: [...this.#inFlight.keys()].filter((keyHash) => !this.#isGranted(keyHash)),
       isLeaving: this.#isLeaving,
     };
   }
-
-  #countDraining(): number {
-    let count = 0;
-    for (const [keyHash, requests] of this.#inFlight) {
-      count += this.#isGranted(keyHash) ? 0 : requests;
-    }
-    return count;
-  }
 }
--- a/packages/ownership/src/common/safeTransition.ts
+++ b/packages/ownership/src/common/safeTransition.ts
@@ -8,7 +8,7 @@
   type Unit,
   unitName,
 } from '@hickoryhoist/protocol/common/assignment.js';
-import type { Observations } from './observations.js';
+import { hasGivenUp, type Observations } from './observations.js';
 
 /**
  * Checks, apart from the planner, that no unit changes its owner while the old owner may still hold it.
@@ -49,7 +49,9 @@
   const isHandedOver =
     release?.successor === successor &&
     owner !== undefined &&
-    (owner.epoch > release.sinceRevision || (observation?.drainedRevision ?? 0) >= release.sinceRevision);
+    (owner.epoch > release.sinceRevision ||
+      (observation !== undefined &&
+        hasGivenUp(observation, unit, release.sinceRevision, before.owners.length)));
   const isRestarted =
     observation !== undefined &&
     observation.incarnation !== '' &&
--- a/packages/ownership/src/common/serverContact.ts
+++ b/packages/ownership/src/common/serverContact.ts
@@ -35,7 +35,7 @@
   #lastDescribeAt = 0;
   #prepared: PreparedGrant | undefined;
   #acknowledgedContent = '';
-  #drainedRevision = 0;
+  #acknowledgedRevision = 0;
   #isBusy = false;
 
   constructor(address: string, servers: ServerClient) {
@@ -65,9 +65,9 @@
     return this.#lastAnswerAt;
   }
 
-  /** Newest revision that the server acknowledged with nothing left to drain. */
-  get drainedRevision(): number {
-    return this.#drainedRevision;
+  /** Newest revision whose grant the server acknowledged. */
+  get acknowledgedRevision(): number {
+    return this.#acknowledgedRevision;
   }
 
   /** Takes over a durable assignment and sends the grant that follows from it. */
@@ -100,15 +100,15 @@
       return;
     }
     const { grant, content } = this.#grantUnder(assignment, server);
-    if (content === this.#acknowledgedContent && this.#state?.drainingRequests === 0) {
-      this.#drainedRevision = assignment.revision;
+    if (content === this.#acknowledgedContent && this.#state?.drainingKeys.length === 0) {
+      this.#acknowledgedRevision = assignment.revision;
       await this.#describeWhenDue();
       return;
     }
     const state = await this.#order(grant);
     if (state?.accepted === true) {
       this.#acknowledgedContent = content;
-      this.#drainedRevision = state.drainingRequests === 0 ? assignment.revision : this.#drainedRevision;
+      this.#acknowledgedRevision = assignment.revision;
     }
   }
 
--- a/packages/ownership/src/common/serverObserver.ts
+++ b/packages/ownership/src/common/serverObserver.ts
@@ -61,9 +61,9 @@
     return state?.epoch === record?.epoch ? (state?.renewerFence ?? 0) : 0;
   }
 
-  #drainedRevision(record: ServerRecord | undefined, reports: FollowerSession['servers']): number {
+  #acknowledgedRevision(record: ServerRecord | undefined, reports: FollowerSession['servers']): number {
     if (record?.fenceSupport !== 'unchecked') {
-      return this.#contact.drainedRevision;
+      return this.#contact.acknowledgedRevision;
     }
     const isComplete = reports.length === record.renewers.length && record.possibleRenewers.length === 0;
     return isComplete ? Math.min(...reports.map(({ settledRevision }) => settledRevision)) : 0;
@@ -95,7 +95,8 @@
       isLeaving: state?.isLeaving === true || reports.some(({ isLeaving }) => isLeaving),
       isAnswering: this.#isAnswering(),
       isSilent: record !== undefined && this.#isSilent(record, sessions),
-      drainedRevision: this.#drainedRevision(record, reports),
+      acknowledgedRevision: this.#acknowledgedRevision(record, reports),
+      drainingKeys: state?.drainingKeys ?? [],
       adoptedRenewerFence: this.#adoptedRenewerFence(record),
       withdrawingFence: this.#withdrawal?.renewerFence ?? 0,
       lapsedFence: this.#withdrawal?.isLapsed === true ? this.#withdrawal.renewerFence : 0,
--- a/packages/ownership/src/common/test/soleOwnership.test.ts
+++ b/packages/ownership/src/common/test/soleOwnership.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import { DrainStore } from '../drainStore.js';
 import { PLATFORM } from './fakes/fakePlatform.js';
 import { addressOnWire, SERVICE } from './fakes/fakeRegion.js';
 import { type RegionRun, runRegion } from './fakes/runRegion.js';
@@ -234,7 +235,19 @@
         assert.ok(run.oracle.longestUnownedMilliseconds <= SERVED_AGAIN_MILLISECONDS);
       }));
 
-    it('waits for an entry VM that knows only the older assignment', () =>
+    it('leaves no entry VM sending to a drained server while others send to its successor', () =>
+      runRegion(unchecked, async (run) => {
+        const stale = run.region.entryVmIds.find((id) => id !== assignerId(run)) ?? '';
+        run.region.network.cut(stale, assignerId(run));
+        run.region.network.cut(stale, PLATFORM);
+        const address = addressOnWire(ownerOfFirstKey(run).address);
+        await new DrainStore(run.region.platform.memory.table).set(address, true);
+        await run.advance(8_000);
+        assert.is(unownedKeys(run), 0);
+        assert.not(run.oracle.keyHashes.some((keyHash) => run.oracle.ownersOf(keyHash).includes(address)));
+      }));
+
+    it('moves the keys of a lost server past an entry VM that knows only the older assignment', () =>
       runRegion(unchecked, async (run) => {
         const stale = run.region.entryVmIds.find((id) => id !== assignerId(run)) ?? '';
         run.region.network.cut(stale, assignerId(run));
--- a/packages/protocol/src/common/serverMessages.ts
+++ b/packages/protocol/src/common/serverMessages.ts
@@ -49,8 +49,8 @@
   epoch: z.number().int(),
   revision: z.number().int(),
   renewerFence: z.number().int(),
-  /** Requests in flight on keys that the newest grant took away. */
-  drainingRequests: z.number().int(),
+  /** Hashes of keys that the newest grant took away and that still have requests in flight. */
+  drainingKeys: z.array(z.string()),
   isLeaving: z.boolean(),
 });
 
