--- a/packages/gateway/src/common/loadRecorder.ts
+++ b/packages/gateway/src/common/loadRecorder.ts
@@ -2,7 +2,7 @@
 import type { LoadReport } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
 
 const MAXIMUM_TRACKED_KEYS = 2_048;
-const MAXIMUM_REPORTED_KEYS = 32;
+const MAXIMUM_REPORTED_KEYS = 300;
 
 interface ServerSum {
   requests: number;
@@ -17,7 +17,6 @@
   #servers = new Map<string, ServerSum>();
   #slices = new Map<number, number>();
   #keys = new Map<KeyHash, number>();
-  #finished: LoadReport | undefined;
 
   constructor(intervalMilliseconds: number) {
     this.#intervalMilliseconds = intervalMilliseconds;
@@ -38,13 +37,10 @@
     this.#server(address).shed += 1;
   }
 
-  /** Report over the newest finished interval. */
+  /** Report over an interval, once for each interval that has passed. */
   report(): LoadReport | undefined {
     const elapsed = performance.now() - this.#startedAt;
-    if (elapsed >= this.#intervalMilliseconds) {
-      this.#finish(elapsed);
-    }
-    return this.#finished;
+    return elapsed >= this.#intervalMilliseconds ? this.#finish(elapsed) : undefined;
   }
 
   #server(address: string): ServerSum {
@@ -57,11 +53,11 @@
     return sum;
   }
 
-  #finish(elapsed: number): void {
+  #finish(elapsed: number): LoadReport {
     const hottest = [...this.#keys]
       .sort(([, left], [, right]) => right - left)
       .slice(0, MAXIMUM_REPORTED_KEYS);
-    this.#finished = {
+    const report: LoadReport = {
       intervalMilliseconds: Math.round(elapsed),
       servers: [...this.#servers].map(([address, sum]) => ({
         address,
@@ -76,5 +72,6 @@
     this.#servers = new Map();
     this.#slices = new Map();
     this.#keys = new Map();
+    return report;
   }
 }
--- a/packages/gateway/src/common/requestExecutor.ts
+++ b/packages/gateway/src/common/requestExecutor.ts
@@ -82,7 +82,9 @@
       return { kind: 'again', proof: notRunForNow('no-owner') };
     }
     const limiter = this.#directory.limiter(request.service, target.address);
-    const result = await limiter.acquire(request.service.latencyClass, remainingMilliseconds(request));
+    const patience =
+      remainingMilliseconds(request) - this.#directory.expectedMilliseconds(request.service, target.address);
+    const result = await limiter.acquire(request.service.latencyClass, patience);
     if (result.kind === 'overloaded') {
       return { kind: 'done', outcome: notRunForNow('overloaded') };
     }
--- a/packages/gateway/src/common/serverDirectory.ts
+++ b/packages/gateway/src/common/serverDirectory.ts
@@ -9,13 +9,47 @@
 const WAITING_PER_SLOT = 64;
 const LOAD_INTERVAL_MILLISECONDS = 2_000;
 const SMOOTHING = 0.1;
+const SHARE_GROWTH = 0.1;
+/** Part of the range between one slot and all of them that proportional reduction leaves. */
+const PROPORTIONAL_PART = 0.5;
 const INITIAL_SERVICE_MILLISECONDS = 5;
 const AVOIDANCE_MILLISECONDS = 500;
 const HEDGE_FACTOR = 4;
 const SHORTEST_HEDGE_MILLISECONDS = 25;
 
+/** How the gateways share the slots of a server without talking to each other. */
+export type SlotSharing =
+  /** Every gateway uses up to all slots; the server's queue and its shed replies sort out the rest. */
+  | 'full'
+  /** Every gateway uses an even part, at least one slot. */
+  | 'static'
+  /** Every gateway adds to its part while it is answered and halves it when the server sheds. */
+  | 'adaptive'
+  /**
+   * Every gateway's part is reduced in the same proportion between one slot and all of them, after the partial
+   * admission of KEP-420.
+   */
+  | 'proportional';
+
+/** How a gateway chooses among pooled servers. */
+export type ServerChoice = 'random' | 'two-choices';
+
+/** Policies of a server directory. */
+export interface ServerDirectoryOptions {
+  readonly sharing: SlotSharing;
+  readonly choice: ServerChoice;
+}
+
+export const defaultServerDirectoryOptions: ServerDirectoryOptions = {
+  sharing: 'full',
+  choice: 'two-choices',
+};
+
 interface ServerEntry {
   readonly limiter: SlotLimiter;
+  readonly slots: number;
+  /** Part of the slots that this gateway uses. */
+  share: number;
   /** Smoothed time from sending to answer, in milliseconds. */
   serviceMilliseconds: number;
   /** Pooled requests keep away from the server until this time. */
@@ -32,11 +66,13 @@
 /** What this gateway learned of each server from its own traffic. */
 export class ServerDirectory {
   readonly #random: RandomSource;
+  readonly #options: ServerDirectoryOptions;
   readonly #entries = new Map<string, ServerEntry>();
   readonly #recorders = new Map<string, LoadRecorder>();
 
-  constructor(random: RandomSource) {
+  constructor(random: RandomSource, options: ServerDirectoryOptions = defaultServerDirectoryOptions) {
     this.#random = random;
+    this.#options = options;
   }
 
   limiter(service: ServiceFile, address: string): SlotLimiter {
@@ -52,6 +88,9 @@
     const usable = servers.filter((address) => this.#entry(service, address).avoidUntil <= now);
     const candidates = usable.length > 0 ? usable : servers;
     const first = this.#random.pick(candidates);
+    if (this.#options.choice === 'random') {
+      return first;
+    }
     const second = this.#random.pick(candidates);
     return this.#expectedWait(service, first) <= this.#expectedWait(service, second) ? first : second;
   }
@@ -67,6 +106,7 @@
     switch (attempt.kind) {
       case 'answered':
         entry.serviceMilliseconds += SMOOTHING * (elapsed - entry.serviceMilliseconds);
+        this.#adapt(entry, entry.share + SHARE_GROWTH / entry.share);
         if (target.keyHash !== undefined) {
           this.#recorder(service.name).recordAnswer(
             target.address,
@@ -79,6 +119,7 @@
       case 'refused':
         if (attempt.refusal === 'shed') {
           this.#recorder(service.name).recordShed(target.address);
+          this.#adapt(entry, entry.share / 2);
         }
         entry.avoidUntil = performance.now() + AVOIDANCE_MILLISECONDS / 10;
         break;
@@ -103,8 +144,11 @@
       return known;
     }
     const slots = service.slotsPerServer;
+    const share = initialShare(this.#options.sharing, slots);
     const entry: ServerEntry = {
-      limiter: new SlotLimiter(slots, slots * WAITING_PER_SLOT),
+      slots,
+      share,
+      limiter: new SlotLimiter(Math.round(share), slots * WAITING_PER_SLOT),
       serviceMilliseconds: INITIAL_SERVICE_MILLISECONDS,
       avoidUntil: 0,
     };
@@ -112,6 +156,18 @@
     return entry;
   }
 
+  #adapt(entry: ServerEntry, share: number): void {
+    if (this.#options.sharing === 'adaptive') {
+      entry.share = Math.min(entry.slots, Math.max(1, share));
+      entry.limiter.setLimit(Math.round(entry.share));
+    }
+  }
+
+  /** Time that a request to a server takes as a rule, in milliseconds. */
+  expectedMilliseconds(service: ServiceFile, address: string): number {
+    return this.#entry(service, address).serviceMilliseconds;
+  }
+
   #recorder(group: string): LoadRecorder {
     const known = this.#recorders.get(group);
     if (known !== undefined) {
@@ -122,3 +178,15 @@
     return recorder;
   }
 }
+
+function initialShare(sharing: SlotSharing, slots: number): number {
+  switch (sharing) {
+    case 'full':
+    case 'adaptive':
+      return slots;
+    case 'static':
+      return 1;
+    case 'proportional':
+      return 1 + (slots - 1) * PROPORTIONAL_PART;
+  }
+}
--- a/packages/ownership/src/common/assigner.ts
+++ b/packages/ownership/src/common/assigner.ts
@@ -208,7 +208,13 @@
     });
     const reports = sessions.flatMap(({ load }) => (load === undefined ? [] : [load]));
     const isSettled = performance.now() - this.#startedAt >= GATHERING_MILLISECONDS;
-    return { wanted, members, servers: new Map(servers), load: mergeLoad(reports), isSettled };
+    return {
+      wanted,
+      members,
+      servers: new Map(servers),
+      load: mergeLoad(reports, assignment.pins, assignment.owners.length),
+      isSettled,
+    };
   }
 
   #keepObservers(addresses: ReadonlySet<string>, assignment: Assignment): void {
--- a/packages/ownership/src/common/assignmentPlanner.ts
+++ b/packages/ownership/src/common/assignmentPlanner.ts
@@ -1,5 +1,10 @@
-import type { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
-import type { Assignment, EntryVm, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
+import { type KeyHasher, sliceOf } from '@hickoryhoist/base/common/keyHash.js';
+import {
+  type Assignment,
+  type EntryVm,
+  NO_OWNER,
+  type ServerRecord,
+} from '@hickoryhoist/protocol/common/assignment.js';
 import { AssignmentDraft } from './assignmentDraft.js';
 import type { BalancePolicy } from './balancePolicy.js';
 import { hasGivenUp, type Observations, type ServerObservation, type WantedServer } from './observations.js';
@@ -145,6 +150,23 @@
     }
   }
 
+  /** A key is pinned where it is, and returns to its slice only where the slice is, so that no owner changes. */
+  #planPins(draft: AssignmentDraft, { load }: Observations): void {
+    for (const keyHash of this.#balance.unpins(draft, load)) {
+      const pin = draft.pins.find((other) => other.keyHash === keyHash);
+      const isReleasing = draft.isReleasing({ unit: { $case: 'pin', value: keyHash } });
+      if (pin !== undefined && !isReleasing && steadySliceOwner(draft, keyHash) === pin.owner) {
+        draft.removePin(keyHash);
+      }
+    }
+    for (const keyHash of this.#balance.pins(draft, load)) {
+      const owner = steadySliceOwner(draft, keyHash);
+      if (owner !== undefined && owner !== NO_OWNER) {
+        draft.assign({ unit: { $case: 'pin', value: keyHash } }, owner);
+      }
+    }
+  }
+
   #placeUnits(draft: AssignmentDraft, observations: Observations): void {
     const servers = draft.servers.filter(({ phase }) => phase === 'serving');
     if (servers.length === 0) {
@@ -155,12 +177,20 @@
     for (const { unit, owner } of this.#balance.place(draft, homeless, observations.load)) {
       draft.assign(unit, owner);
     }
+    this.#planPins(draft, observations);
     for (const { unit, owner } of this.#balance.move(draft, observations.load)) {
       draft.release(unit, owner);
     }
   }
 }
 
+/** Owner of the slice of a key while nothing is about to change there. */
+function steadySliceOwner(draft: AssignmentDraft, keyHash: string): number | undefined {
+  const slice = sliceOf(keyHash, draft.owners.length);
+  const isReleasing = draft.isReleasing({ unit: { $case: 'slice', value: slice } });
+  return isReleasing ? undefined : draft.owners[slice];
+}
+
 /** Ends hand-overs whose owner has drained, or whose successor can no longer take the unit. */
 function completeReleases(draft: AssignmentDraft, observations: Observations): void {
   const servers = new Map(draft.servers.map((server) => [server.number, server]));
--- a/packages/ownership/src/common/entryVmControl.ts
+++ b/packages/ownership/src/common/entryVmControl.ts
@@ -26,7 +26,12 @@
 import { ConfigurationKeeper, type ReadUrgency } from './configurationKeeper.js';
 import { GroupControl } from './groupControl.js';
 import { LeaseRenewer } from './leaseRenewer.js';
-import { LoadBalancePolicy } from './loadBalancePolicy.js';
+import { balanceOptionsFor } from './balanceWeights.js';
+import {
+  defaultLoadBalanceOptions,
+  type LoadBalanceOptions,
+  LoadBalancePolicy,
+} from './loadBalancePolicy.js';
 import type { Member, WantedServer } from './observations.js';
 import { OwnershipHolder } from './ownershipHolder.js';
 import type { FollowerConnection, FollowerListener, PeerClient, PeerHandler } from './peerClient.js';
@@ -234,9 +239,17 @@
     }
   }
 
+  #service(name: string): ServiceFile | undefined {
+    return this.configuration.current?.snapshot.services.find((service) => service.name === name);
+  }
+
+  #balanceOptions(group: string): LoadBalanceOptions {
+    const service = this.#service(group);
+    return service?.kind === 'keyed' ? balanceOptionsFor(service.weights) : defaultLoadBalanceOptions;
+  }
+
   #wanted(name: string): readonly WantedServer[] {
-    const services: readonly ServiceFile[] = this.configuration.current?.snapshot.services ?? [];
-    const service = services.find((other) => other.name === name);
+    const service = this.#service(name);
     return service === undefined ? [] : wantedServersOf(service, this.#watcher);
   }
 
@@ -252,7 +265,8 @@
         sliceCount,
         self,
         store: new AssignmentStore(platform.table, group),
-        createPlanner: () => new AssignmentPlanner(hasher, new LoadBalancePolicy()),
+        createPlanner: () =>
+          new AssignmentPlanner(hasher, new LoadBalancePolicy(this.#balanceOptions(group))),
         servers,
         peers,
         logger,
--- a/packages/ownership/src/common/loadAggregation.ts
+++ b/packages/ownership/src/common/loadAggregation.ts
@@ -1,4 +1,6 @@
 import type { LoadReport } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
+import { sliceOf } from '@hickoryhoist/base/common/keyHash.js';
+import type { Pin } from '@hickoryhoist/protocol/common/assignment.js';
 import type { GroupLoad } from './observations.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -6,10 +8,14 @@
 const MAXIMUM_SPEED = 10;
 
 /** Load of a group of which nothing is known yet. */
-export const unknownLoad: GroupLoad = { slices: new Map(), keys: new Map(), speeds: new Map() };
+export const unknownLoad: GroupLoad = { total: 0, slices: new Map(), keys: new Map(), speeds: new Map() };
 
 /** Merges the newest report of every gateway into the load of the group. */
-export function mergeLoad(reports: readonly LoadReport[]): GroupLoad {
+export function mergeLoad(
+  reports: readonly LoadReport[],
+  pins: readonly Pin[],
+  sliceCount: number,
+): GroupLoad {
   const slices = new Map<number, number>();
   const keys = new Map<string, number>();
   const servers = new Map<string, { requests: number; busyMilliseconds: number }>();
@@ -28,7 +34,12 @@
       servers.set(address, sum);
     }
   }
-  return { slices, keys, speeds: relativeSpeeds(servers) };
+  const total = [...slices.values()].reduce((sum, work) => sum + work, 0);
+  for (const { keyHash } of pins) {
+    const slice = sliceOf(keyHash, sliceCount);
+    slices.set(slice, Math.max(0, (slices.get(slice) ?? 0) - (keys.get(keyHash) ?? 0)));
+  }
+  return { total, slices, keys, speeds: relativeSpeeds(servers) };
 }
 
 function relativeSpeeds(
--- a/packages/ownership/src/common/loadBalancePolicy.ts
+++ b/packages/ownership/src/common/loadBalancePolicy.ts
@@ -1,4 +1,10 @@
-import type { ServerRecord, Unit } from '@hickoryhoist/protocol/common/assignment.js';
+import { sliceOf } from '@hickoryhoist/base/common/keyHash.js';
+import {
+  NO_OWNER,
+  type ServerRecord,
+  type Unit,
+  unitName,
+} from '@hickoryhoist/protocol/common/assignment.js';
 import type { AssignmentDraft } from './assignmentDraft.js';
 import type { BalancePolicy, Placement } from './balancePolicy.js';
 import type { GroupLoad } from './observations.js';
@@ -13,6 +19,14 @@
   readonly movesPerInterval: number;
   /** Length of an interval in milliseconds. */
   readonly intervalMilliseconds: number;
+  /** Work of a single key, as a share of the mean work of a server, from which it is pinned. */
+  readonly pinShare: number;
+  /** Share below which a pinned key returns to its slice. */
+  readonly unpinShare: number;
+  /** Pins of one group at most. */
+  readonly maximumPins: number;
+  /** Work of a whole group, in busy milliseconds per second, below which nothing is moved for balance. */
+  readonly idleWork: number;
 }
 
 export const defaultLoadBalanceOptions: LoadBalanceOptions = {
@@ -20,6 +34,10 @@
   stopRatio: 1.05,
   movesPerInterval: 8,
   intervalMilliseconds: 2_000,
+  pinShare: 0.05,
+  unpinShare: 0.02,
+  maximumPins: 300,
+  idleWork: 20,
 };
 
 /** Work that a unit counts for before any load was reported, in busy milliseconds per second. */
@@ -44,6 +62,18 @@
     this.#options = options;
   }
 
+  pins(draft: AssignmentDraft, load: GroupLoad): readonly string[] {
+    const threshold = this.#options.pinShare * meanWork(draft, load);
+    const pinned = new Set(draft.pins.map(({ keyHash }) => keyHash));
+    const hot = [...load.keys].filter(([keyHash, work]) => work > threshold && !pinned.has(keyHash));
+    const room = Math.max(0, this.#options.maximumPins - pinned.size);
+    return load.total < this.#options.idleWork ? [] : hot.slice(0, room).map(([keyHash]) => keyHash);
+  }
+
+  unpins(draft: AssignmentDraft, load: GroupLoad): readonly string[] {
+    return draft.pins.map(({ keyHash }) => keyHash).filter((keyHash) => this.#isCold(draft, load, keyHash));
+  }
+
   place(draft: AssignmentDraft, units: readonly Unit[], load: GroupLoad): readonly Placement[] {
     if (units.length === 0) {
       return [];
@@ -64,11 +94,43 @@
       return [];
     }
     this.#nextMoveAt = performance.now() + this.#options.intervalMilliseconds;
-    return this.#balance(draft, this.#serverWork(draft, load), load);
+    const balancing = this.#balance(draft, this.#serverWork(draft, load), load);
+    return [...balancing, ...this.#returnColdPins(draft, load, balancing)];
+  }
+
+  /** Moves pinned keys that cooled down back to the owners of their slices, where the pins can end. */
+  #returnColdPins(
+    draft: AssignmentDraft,
+    load: GroupLoad,
+    balancing: readonly Placement[],
+  ): readonly Placement[] {
+    const moving = new Set(balancing.map(({ unit }) => unitName(unit)));
+    const cold = draft.pins.filter(({ keyHash }) => this.#isCold(draft, load, keyHash));
+    return cold
+      .map(({ keyHash, owner }) => ({
+        keyHash,
+        owner,
+        home: draft.owners[sliceOf(keyHash, draft.owners.length)],
+      }))
+      .flatMap(({ keyHash, owner, home }): Placement[] =>
+        home === undefined || home === owner || home === NO_OWNER
+          ? []
+          : [{ unit: { unit: { $case: 'pin', value: keyHash } }, owner: home }],
+      )
+      .filter(({ unit }) => !moving.has(unitName(unit)))
+      .slice(0, this.#options.movesPerInterval);
+  }
+
+  #isCold(draft: AssignmentDraft, load: GroupLoad, keyHash: string): boolean {
+    const work = load.keys.get(keyHash) ?? 0;
+    return load.total > 0 && work < this.#options.unpinShare * meanWork(draft, load);
   }
 
   #balance(draft: AssignmentDraft, servers: readonly ServerWork[], load: GroupLoad): readonly Placement[] {
     const moves: Placement[] = [];
+    if (load.slices.size > 0 && load.total < this.#options.idleWork) {
+      return moves;
+    }
     const remaining = new Map(
       servers.map(({ server }) => [server.number, [...draft.unitsOf(server.number)]]),
     );
@@ -176,3 +238,8 @@
   }
   return best;
 }
+
+function meanWork(draft: AssignmentDraft, load: GroupLoad): number {
+  const serving = draft.servers.filter(({ phase }) => phase === 'serving').length;
+  return load.total / Math.max(1, serving);
+}
--- a/packages/ownership/src/common/memberRegistry.ts
+++ b/packages/ownership/src/common/memberRegistry.ts
@@ -57,7 +57,7 @@
     session.appliedRevision = report.appliedRevision;
     session.configurationRevision = report.configurationRevision;
     session.servers = report.servers;
-    session.load = report.load;
+    session.load = report.load ?? session.load;
     session.crashSuspects = report.crashSuspects;
     const isOverdue = performance.now() - session.sentAt > leaseTiming.peerSilenceMilliseconds;
     if (report.appliedRevision < session.sentRevision && isOverdue) {
--- a/packages/ownership/src/common/observations.ts
+++ b/packages/ownership/src/common/observations.ts
@@ -41,7 +41,9 @@
 
 /** Load of a group over the newest interval, from the gateways' reports. */
 export interface GroupLoad {
-  /** Work per slice, in busy milliseconds per second. */
+  /** Work of the whole group, in busy milliseconds per second. */
+  readonly total: number;
+  /** Work per slice without its pinned keys, in busy milliseconds per second. */
   readonly slices: ReadonlyMap<number, number>;
   /** Work per hot key, in busy milliseconds per second. */
   readonly keys: ReadonlyMap<string, number>;
--- a/packages/ownership/src/common/safeTransition.ts
+++ b/packages/ownership/src/common/safeTransition.ts
@@ -1,10 +1,12 @@
 import { InvariantError } from '@hickoryhoist/base/common/errors.js';
+import { sliceOf } from '@hickoryhoist/base/common/keyHash.js';
 import {
   type Assignment,
   findServer,
   NO_OWNER,
   ownerOfUnit,
   type Release,
+  type ServerRecord,
   type Unit,
   unitName,
 } from '@hickoryhoist/protocol/common/assignment.js';
@@ -25,6 +27,9 @@
     );
   }
   const releases = new Map(before.releases.map((release) => [unitName(release.unit), release]));
+  for (const pin of after.pins) {
+    assertPinnedInPlace(before, pin.keyHash, pin.owner, releases);
+  }
   for (const unit of unitsOf(before)) {
     const owner = ownerOfUnit(before, unit);
     if (owner !== NO_OWNER && owner !== ownerOfUnit(after, unit)) {
@@ -33,6 +38,22 @@
   }
 }
 
+/** A new pin must start with the owner of its slice. */
+function assertPinnedInPlace(
+  before: Assignment,
+  keyHash: string,
+  owner: number,
+  releases: ReadonlyMap<string, Release>,
+): void {
+  if (before.pins.some((pin) => pin.keyHash === keyHash)) {
+    return;
+  }
+  const slice: Unit = { unit: { $case: 'slice', value: sliceOf(keyHash, before.owners.length) } };
+  if (ownerOfUnit(before, slice) !== owner || releases.has(unitName(slice))) {
+    throw new InvariantError(`pin ${keyHash} would start away from its slice`);
+  }
+}
+
 function assertGivenUp(
   before: Assignment,
   after: Assignment,
@@ -43,7 +64,8 @@
   const owner = findServer(before, ownerOfUnit(before, unit));
   const observation = owner === undefined ? undefined : observations.servers.get(owner.address);
   const successor = ownerOfUnit(after, unit);
-  const isReturnedToSlice = unit.unit.$case === 'pin' && successor === NO_OWNER;
+  const isReturnedToSlice =
+    unit.unit.$case === 'pin' && isSliceOwnedBy(before, after, unit.unit.value, owner);
   const isLost =
     owner?.phase === 'lost' || (owner !== undefined && observation?.lapsedFence === owner.renewerFence);
   const isHandedOver =
@@ -68,3 +90,17 @@
   const pins = assignment.pins.map(({ keyHash }): Unit => ({ unit: { $case: 'pin', value: keyHash } }));
   return [...slices, ...pins];
 }
+
+/** Whether the slice of a key belongs to a server before and after, without a hand-over. */
+function isSliceOwnedBy(
+  before: Assignment,
+  after: Assignment,
+  keyHash: string,
+  owner: ServerRecord | undefined,
+): boolean {
+  const slice: Unit = { unit: { $case: 'slice', value: sliceOf(keyHash, before.owners.length) } };
+  const isPinned = after.pins.some((pin) => pin.keyHash === keyHash);
+  const isReleasing = before.releases.some((release) => unitName(release.unit) === unitName(slice));
+  const owners = [ownerOfUnit(before, slice), ownerOfUnit(after, slice)];
+  return !isPinned && !isReleasing && owners.every((number) => number === owner?.number);
+}
