State what each role costs at the target size, and cut what control costs

Ruled out: the planner as the main cost at rest (profile: HTTP exchanges). Change: only changed parts of a delta are checked; planning runs when something was observed, else once a second; entry VMs introduce themselves once a stream; the assigner asks a server less often while renewers hear it; renewals every 320 ms; suspects are told at once; balancing looks for the best relief; the report on service-level burn.

--- a/packages/daemon/src/node/entryVmProcess.ts
+++ b/packages/daemon/src/node/entryVmProcess.ts
@@ -63,6 +63,7 @@
         seedAddresses: settings.seedControlAddresses,
         loadReport: (group) => directory.loadReport(group),
         crashes: {
+          onDidRecordLoss: crashGuard.onDidRecordLoss,
           report: () => crashGuard.report(),
           findRefused,
           refuse: (fingerprints) => {
--- a/packages/daemon/src/node/hickoryhoistMain.ts
+++ b/packages/daemon/src/node/hickoryhoistMain.ts
@@ -3,6 +3,7 @@
 import { confirmLostCommand } from './commands/confirmLostCommand.js';
 import { drainCommand } from './commands/drainCommand.js';
 import { publishCommand } from './commands/publishCommand.js';
+import { reportCommand } from './commands/reportCommand.js';
 import { schemaCommand } from './commands/schemaCommand.js';
 import { serveCommand } from './commands/serveCommand.js';
 import { statusCommand } from './commands/statusCommand.js';
@@ -19,6 +20,7 @@
       schema: schemaCommand,
       status: statusCommand,
       drain: drainCommand,
+      report: reportCommand,
       'confirm-lost': confirmLostCommand,
     },
   }),
--- a/packages/daemon/src/node/statusReader.ts
+++ b/packages/daemon/src/node/statusReader.ts
@@ -7,7 +7,6 @@
 import type { EntryVmStatus, GroupStatus } from '../common/entryVmStatus.js';
 
 const NANOSECONDS_PER_MILLISECOND = 1e6;
-const PERCENTILE_50 = 50;
 const PERCENTILE_99 = 99;
 
 /** The part of the status that only the gateway knows. */
@@ -46,13 +45,7 @@
         this.#eventLoopDelay.percentile(PERCENTILE_99) / NANOSECONDS_PER_MILLISECOND,
       residentBytes: process.memoryUsage.rss(),
       groups: this.#control.groups.map(groupStatus),
-      services: this.#metrics.serviceNames.map((service) => ({
-        service,
-        ...this.#metrics.counts(service),
-        p50Milliseconds: this.#metrics.latency(service, PERCENTILE_50),
-        p99Milliseconds: this.#metrics.latency(service, PERCENTILE_99),
-        encodedLatency: this.#metrics.encodedLatency(service),
-      })),
+      services: [...this.#metrics.read()],
     };
   }
 }
--- a/packages/gateway/src/common/crashGuard.ts
+++ b/packages/gateway/src/common/crashGuard.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import type { GatewayRequest } from './gatewayRequest.js';
 
 /** Identifies requests that do the same: service, method, target and body. */
@@ -26,8 +27,16 @@
  */
 export class CrashGuard {
   readonly #suspects = new Map<RequestFingerprint, Suspect>();
+  readonly #onDidRecordLoss = new Emitter<void>();
   #refusedElsewhere: ReadonlySet<RequestFingerprint> = new Set();
 
+  /** Fires when a request was in flight at a lost server, so that other entry VMs can be told at once. */
+  readonly onDidRecordLoss = this.#onDidRecordLoss.event;
+
+  isSuspect(fingerprint: RequestFingerprint): boolean {
+    return this.#suspects.has(fingerprint);
+  }
+
   isRefused(fingerprint: RequestFingerprint): boolean {
     const losses = this.#suspects.get(fingerprint)?.losses ?? 0;
     return losses >= LOSS_LIMIT || this.#refusedElsewhere.has(fingerprint);
@@ -41,6 +50,7 @@
     } else if (this.#suspects.size < MAXIMUM_SUSPECTS) {
       this.#suspects.set(fingerprint, { losses: 1, since: performance.now() });
     }
+    this.#onDidRecordLoss.fire();
   }
 
   recordAnswer(fingerprint: RequestFingerprint): void {
--- a/packages/gateway/src/common/requestExecutor.ts
+++ b/packages/gateway/src/common/requestExecutor.ts
@@ -13,6 +13,9 @@
 
 /** Pause before an assignment or a shedding server is looked at again, in milliseconds. */
 const RETRY_PAUSE_MILLISECONDS = 15;
+/** Share of a request's whole time for which it may wait for a slot. */
+const LONGEST_WAIT_SHARE = 0.25;
+const SUSPECT_WAIT_MILLISECONDS = 100;
 const RETRY_SHARE = 0.1;
 const RETRY_TOKENS = 20;
 
@@ -82,9 +85,7 @@
       return { kind: 'again', proof: notRunForNow('no-owner') };
     }
     const limiter = this.#directory.limiter(request.service, target.address);
-    const patience =
-      remainingMilliseconds(request) - this.#directory.expectedMilliseconds(request.service, target.address);
-    const result = await limiter.acquire(request.service.latencyClass, patience);
+    const result = await limiter.acquire(request.service.latencyClass, this.#patience(request, target));
     if (result.kind === 'overloaded') {
       return { kind: 'done', outcome: notRunForNow('overloaded') };
     }
@@ -93,7 +94,7 @@
       if (!isStillRight || !mayRun() || remainingMilliseconds(request) <= 0) {
         return { kind: 'again', proof: notRunForNow('no-owner') };
       }
-      if (this.#crashGuard.isRefused(fingerprintOf(request))) {
+      if (await this.#crashesServers(request)) {
         return { kind: 'done', outcome: { kind: 'not-run', reason: 'crashes-servers' } };
       }
       const attempt = request.isIdempotent
@@ -105,6 +106,22 @@
     }
   }
 
+  /** Time that a request may wait for a slot: what its deadline leaves, but a share of its time at most. */
+  #patience(request: GatewayRequest, { address }: Target): number {
+    const expected = this.#directory.expectedMilliseconds(request.service, address);
+    const longest = request.service.deadlineMilliseconds * LONGEST_WAIT_SHARE;
+    return Math.min(longest, remainingMilliseconds(request) - expected);
+  }
+
+  /** A suspect waits until what other entry VMs know of it should have arrived. */
+  async #crashesServers(request: GatewayRequest): Promise<boolean> {
+    const fingerprint = fingerprintOf(request);
+    if (this.#crashGuard.isSuspect(fingerprint)) {
+      await delay(Math.min(SUSPECT_WAIT_MILLISECONDS, Math.max(1, remainingMilliseconds(request))));
+    }
+    return this.#crashGuard.isRefused(fingerprint);
+  }
+
   async #send(request: GatewayRequest, target: Target, signal: AbortSignal): Promise<AttemptResult> {
     const startedAt = performance.now();
     const tracking = this.#routing.track(request.service.name, target.address, target.revision);
--- a/packages/gateway/src/common/serverDirectory.ts
+++ b/packages/gateway/src/common/serverDirectory.ts
@@ -10,8 +10,6 @@
 const LOAD_INTERVAL_MILLISECONDS = 2_000;
 const SMOOTHING = 0.1;
 const SHARE_GROWTH = 0.1;
-/** Part of the range between one slot and all of them that proportional reduction leaves. */
-const PROPORTIONAL_PART = 0.5;
 const INITIAL_SERVICE_MILLISECONDS = 5;
 const AVOIDANCE_MILLISECONDS = 500;
 const HEDGE_FACTOR = 4;
@@ -24,12 +22,7 @@
   /** Every gateway uses an even part, at least one slot. */
   | 'static'
   /** Every gateway adds to its part while it is answered and halves it when the server sheds. */
-  | 'adaptive'
-  /**
-   * Every gateway's part is reduced in the same proportion between one slot and all of them, after the partial
-   * admission of KEP-420.
-   */
-  | 'proportional';
+  | 'adaptive';
 
 /** How a gateway chooses among pooled servers. */
 export type ServerChoice = 'random' | 'two-choices';
@@ -41,7 +34,7 @@
 }
 
 export const defaultServerDirectoryOptions: ServerDirectoryOptions = {
-  sharing: 'full',
+  sharing: 'adaptive',
   choice: 'two-choices',
 };
 
@@ -186,7 +179,5 @@
       return slots;
     case 'static':
       return 1;
-    case 'proportional':
-      return 1 + (slots - 1) * PROPORTIONAL_PART;
   }
 }
--- a/packages/gateway/src/common/serviceMetrics.ts
+++ b/packages/gateway/src/common/serviceMetrics.ts
@@ -1,21 +1,40 @@
 import { build, encodeIntoCompressedBase64, type Histogram } from 'hdr-histogram-js';
 import type { ServiceFile } from '@hickoryhoist/configuration/common/serviceFile.js';
-import type { Outcome } from './outcome.js';
+import { type Outcome, statusOf } from './outcome.js';
+import { OutcomeWindows, windowMinutes } from './outcomeWindows.js';
 
 const MICROSECONDS_PER_MILLISECOND = 1_000;
+const FIRST_SERVER_ERROR = 500;
+const PERCENTILE_50 = 50;
+const PERCENTILE_99 = 99;
 const HIGHEST_LATENCY_MICROSECONDS = 600_000_000;
 
-/** Counts of one service since the process started. */
-export interface ServiceCounts {
+/** Figures of one service since the process started; latencies in milliseconds. */
+export interface ServiceFigures {
+  readonly service: string;
   readonly answered: number;
   readonly notRun: number;
   readonly unknown: number;
-  /** Requests that were answered truthfully within the objective's time. */
+  /** Requests that were answered within the objective's time. */
   readonly good: number;
+  readonly objectiveShare: number;
+  readonly withinMilliseconds: number;
+  readonly windows: { minutes: number; total: number; good: number }[];
+  readonly p50Milliseconds: number;
+  readonly p99Milliseconds: number;
+  /** Histogram of latencies in microseconds, for merging. */
+  readonly encodedLatency: string;
+}
+
+/** An empty histogram of latencies in microseconds. All latencies share its range, so that they can be merged. */
+export function createLatencyHistogram(): Histogram {
+  return build({ highestTrackableValue: HIGHEST_LATENCY_MICROSECONDS, numberOfSignificantValueDigits: 3 });
 }
 
 interface ServiceEntry {
   readonly latency: Histogram;
+  readonly windows: OutcomeWindows;
+  objective: ServiceFile['objective'];
   answered: number;
   notRun: number;
   unknown: number;
@@ -27,12 +46,16 @@
   readonly #services = new Map<string, ServiceEntry>();
 
   record(service: ServiceFile, outcome: Outcome, elapsedMilliseconds: number): void {
-    const entry = this.#entry(service.name);
+    const entry = this.#entry(service);
+    entry.objective = service.objective;
+    if (countsForObjective(outcome)) {
+      entry.windows.record(isGood(service, outcome, elapsedMilliseconds));
+    }
     entry.latency.recordValue(Math.max(1, Math.round(elapsedMilliseconds * MICROSECONDS_PER_MILLISECOND)));
     switch (outcome.kind) {
       case 'answered':
         entry.answered += 1;
-        entry.good += elapsedMilliseconds <= service.objective.withinMilliseconds ? 1 : 0;
+        entry.good += isGood(service, outcome, elapsedMilliseconds) ? 1 : 0;
         break;
       case 'not-run':
         entry.notRun += 1;
@@ -42,36 +65,48 @@
     }
   }
 
-  get serviceNames(): readonly string[] {
-    return [...this.#services.keys()];
-  }
-
-  counts(service: string): ServiceCounts {
-    const { answered, notRun, unknown, good } = this.#entry(service);
-    return { answered, notRun, unknown, good };
-  }
-
-  /** Latency at a percentile, in milliseconds. */
-  latency(service: string, percentile: number): number {
-    return this.#entry(service).latency.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
+  /** Figures of every service that had requests. */
+  read(): readonly ServiceFigures[] {
+    return [...this.#services].map(([service, entry]) => ({
+      service,
+      answered: entry.answered,
+      notRun: entry.notRun,
+      unknown: entry.unknown,
+      good: entry.good,
+      objectiveShare: entry.objective.share,
+      withinMilliseconds: entry.objective.withinMilliseconds,
+      windows: windowMinutes.map((minutes) => ({ minutes, ...entry.windows.count(minutes) })),
+      p50Milliseconds: entry.latency.getValueAtPercentile(PERCENTILE_50) / MICROSECONDS_PER_MILLISECOND,
+      p99Milliseconds: entry.latency.getValueAtPercentile(PERCENTILE_99) / MICROSECONDS_PER_MILLISECOND,
+      encodedLatency: encodeIntoCompressedBase64(entry.latency),
+    }));
   }
 
-  /** Serialised histogram of latencies in microseconds, for merging. */
-  encodedLatency(service: string): string {
-    return encodeIntoCompressedBase64(this.#entry(service).latency);
-  }
-
-  #entry(service: string): ServiceEntry {
-    const known = this.#services.get(service);
+  #entry(service: ServiceFile): ServiceEntry {
+    const known = this.#services.get(service.name);
     if (known !== undefined) {
       return known;
     }
-    const latency = build({
-      highestTrackableValue: HIGHEST_LATENCY_MICROSECONDS,
-      numberOfSignificantValueDigits: 3,
-    });
-    const entry: ServiceEntry = { latency, answered: 0, notRun: 0, unknown: 0, good: 0 };
-    this.#services.set(service, entry);
+    const latency = createLatencyHistogram();
+    const entry: ServiceEntry = {
+      latency,
+      windows: new OutcomeWindows(),
+      objective: service.objective,
+      answered: 0,
+      notRun: 0,
+      unknown: 0,
+      good: 0,
+    };
+    this.#services.set(service.name, entry);
     return entry;
   }
 }
+
+function isGood(service: ServiceFile, outcome: Outcome, elapsedMilliseconds: number): boolean {
+  return outcome.kind === 'answered' && elapsedMilliseconds <= service.objective.withinMilliseconds;
+}
+
+/** Requests that the caller got wrong do not use up the error budget. */
+function countsForObjective(outcome: Outcome): boolean {
+  return outcome.kind !== 'not-run' || statusOf(outcome) >= FIRST_SERVER_ERROR;
+}
--- a/packages/gateway/src/common/test/crashGuard.test.ts
+++ b/packages/gateway/src/common/test/crashGuard.test.ts
@@ -63,8 +63,8 @@
         ? { kind: 'lost', cause: 'connection-lost' }
         : { kind: 'answered', status: 200, headers: {}, body: Buffer.alloc(0) },
     );
-    const harmless = buildRequest({ body: Buffer.from('harmless') });
     for (let loss = 0; loss < RESENDS; loss += 1) {
+      const harmless = buildRequest({ body: Buffer.from('harmless') });
       guard.recordLoss(fingerprintOf(harmless));
       await executor.execute(buildRequest({ body: Buffer.from('crash') }));
       assert.is((await executor.execute(harmless)).kind, 'answered');
--- a/packages/ownership/src/common/assigner.ts
+++ b/packages/ownership/src/common/assigner.ts
@@ -5,7 +5,7 @@
 import { describeError, InvariantError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RevisedConfiguration } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
-import type { Assignment, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
+import type { Assignment, EntryVm, ServerRecord } from '@hickoryhoist/protocol/common/assignment.js';
 import { diffAssignments } from '@hickoryhoist/protocol/common/assignmentDelta.js';
 import type {
   AssignerMessage,
@@ -19,17 +19,22 @@
 import type { Member, Observations, WantedServer } from './observations.js';
 import type { FollowerConnection, FollowerListener, PeerClient } from './peerClient.js';
 import type { ServerClient } from './serverClient.js';
+import { observationDigest } from './observationDigest.js';
 import { assertSafeTransition } from './safeTransition.js';
 import { ServerObserver } from './serverObserver.js';
 
 const STEP_PAUSE_MILLISECONDS = 50;
 
+/** Longest pause between two plans while nothing is observed but load. */
+const IDLE_PLAN_PAUSE_MILLISECONDS = 1_000;
+
 /** Time for which a new assigner waits for followers and servers before it changes what lives on. */
 const GATHERING_MILLISECONDS = 800;
 
 /** What an assigner needs from its surroundings. */
 export interface AssignerOptions {
   readonly group: string;
+  readonly self: EntryVm;
   readonly sliceCount: number;
   readonly held: HeldTerm;
   readonly store: AssignmentStore;
@@ -64,6 +69,8 @@
   readonly #onDidLoseTerm = this.register(new Emitter<void>());
   readonly #startedAt = performance.now();
   #assignment: Assignment | undefined;
+  #plannedDigest = '';
+  #plannedAt = Number.NEGATIVE_INFINITY;
   #isStoreReachable = true;
 
   readonly onDidLoseTerm = this.#onDidLoseTerm.event;
@@ -128,8 +135,15 @@
     const session = this.#members.open(connection);
     return {
       onReport: (report) => {
+        const isFirst = session.entryVm === undefined;
+        const hadSuspects = session.crashSuspects.length;
         this.#members.record(session, report);
-        this.#send(session);
+        if (isFirst) {
+          this.#send(session);
+        }
+        if (report.crashSuspects.length > 0 || hadSuspects > 0) {
+          this.#sendToAll();
+        }
       },
       onClose: () => {
         this.#members.close(session);
@@ -157,7 +171,7 @@
     this.#assignment ??= (await store.readAssignment()) ?? store.emptyAssignment(sliceCount);
     const current = this.#assignment;
     const observations = this.#observe(current);
-    if (current.servers.length === 0 && !observations.isSettled) {
+    if ((current.servers.length === 0 && !observations.isSettled) || !this.#isPlanDue(observations)) {
       return;
     }
     const draft = planner.plan(current, observations);
@@ -166,6 +180,7 @@
     }
     const next = draft.build(held.term, randomUUID());
     assertSafeTransition(current, next, observations);
+    this.#plannedDigest = '';
     const result = await store.writeAssignment(held, next);
     this.#isStoreReachable = true;
     switch (result) {
@@ -177,6 +192,19 @@
     }
   }
 
+  /** Planning is due when something was observed, and from time to time for the sake of the load. */
+  #isPlanDue(observations: Observations): boolean {
+    const digest = observationDigest(observations);
+    const isChanged = digest !== this.#plannedDigest;
+    const isOverdue = performance.now() - this.#plannedAt >= IDLE_PLAN_PAUSE_MILLISECONDS;
+    if (!isChanged && !isOverdue) {
+      return false;
+    }
+    this.#plannedDigest = digest;
+    this.#plannedAt = performance.now();
+    return true;
+  }
+
   #adopt(assignment: Assignment): void {
     const before = this.#assignment;
     this.#assignment = assignment;
@@ -212,6 +240,7 @@
       wanted,
       members,
       servers: new Map(servers),
+      assignerId: this.#options.self.id,
       load: mergeLoad(reports, assignment.pins, assignment.owners.length),
       isSettled,
     };
--- a/packages/ownership/src/common/assignmentPlanner.ts
+++ b/packages/ownership/src/common/assignmentPlanner.ts
@@ -136,7 +136,7 @@
     const { availabilityZone, entryVmId } = subject;
     return selectRenewers(
       this.#hasher,
-      { address, availabilityZone, entryVmId },
+      { address, availabilityZone, entryVmId, assignerId: observations.assignerId },
       current,
       observations.members,
     );
--- a/packages/ownership/src/common/balanceWeights.ts
+++ b/packages/ownership/src/common/balanceWeights.ts
@@ -10,11 +10,11 @@
 export function balanceOptionsFor(weights: KeyedService['weights']): LoadBalanceOptions {
   const calm = Math.max(SMALLEST_WEIGHT, (weights.churn + weights.unavailableTime) / 2);
   const tolerance = calm / Math.max(SMALLEST_WEIGHT, weights.imbalance);
-  const { startRatio, stopRatio, movesPerInterval } = defaultLoadBalanceOptions;
+  const { startRatio, leastGain, movesPerInterval } = defaultLoadBalanceOptions;
   return {
     ...defaultLoadBalanceOptions,
     startRatio: 1 + (startRatio - 1) * tolerance,
-    stopRatio: 1 + (stopRatio - 1) * tolerance,
+    leastGain: leastGain * tolerance,
     movesPerInterval: Math.max(1, Math.round(movesPerInterval / tolerance)),
   };
 }
--- a/packages/ownership/src/common/entryVmControl.ts
+++ b/packages/ownership/src/common/entryVmControl.ts
@@ -1,5 +1,5 @@
 import { DisposableBase, DisposableStore } from '@hickoryhoist/base/common/disposable.js';
-import { Emitter } from '@hickoryhoist/base/common/emitter.js';
+import { Emitter, type Event } from '@hickoryhoist/base/common/emitter.js';
 import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
 import { type KeyHasher, rendezvousScore } from '@hickoryhoist/base/common/keyHash.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
@@ -68,6 +68,7 @@
 
 /** Exchange with the gateway about requests that crash servers. */
 export interface CrashExchange {
+  readonly onDidRecordLoss: Event<void>;
   report(): readonly CrashSuspect[];
   findRefused(suspects: readonly (readonly CrashSuspect[])[]): readonly string[];
   refuse(fingerprints: readonly string[]): void;
@@ -291,6 +292,11 @@
       }),
     );
     if (group === ENTRY_VM_GROUP) {
+      this.#groupStore.add(
+        crashes.onDidRecordLoss(() => {
+          control.follower.reportNow();
+        }),
+      );
       this.#groupStore.add(
         control.follower.onDidReceiveRefusals((fingerprints) => {
           crashes.refuse(fingerprints);
--- a/packages/ownership/src/common/follower.ts
+++ b/packages/ownership/src/common/follower.ts
@@ -42,6 +42,7 @@
   #stream: FollowStream | undefined;
   #lastHeardAt = Number.NEGATIVE_INFINITY;
   #openedAt = 0;
+  #isIntroduced = false;
   #term = 0;
   #isStoreReachable = false;
 
@@ -100,6 +101,11 @@
     return performance.now() - this.#lastHeardAt < leaseTiming.peerSilenceMilliseconds;
   }
 
+  /** Reports at once instead of at the next turn. */
+  reportNow(): void {
+    this.#report();
+  }
+
   /** Turns to another assigner. */
   redirect(address: string): void {
     if (this.#assignerAddress === address) {
@@ -130,6 +136,7 @@
       return;
     }
     this.#openedAt = performance.now();
+    this.#isIntroduced = false;
     const stream = this.#options.peers.follow(this.#assignerAddress, {
       onMessage: (message) => {
         if (this.#stream === stream) {
@@ -154,9 +161,11 @@
   }
 
   #report(): void {
+    const entryVm = this.#isIntroduced ? undefined : this.#options.self;
+    this.#isIntroduced = this.#stream !== undefined;
     this.#stream?.send({
       group: this.#options.group,
-      entryVm: this.#options.self,
+      entryVm,
       appliedRevision: this.#assignment?.revision ?? 0,
       ...this.#options.reportDetails(),
     });
--- a/packages/ownership/src/common/leaseTiming.ts
+++ b/packages/ownership/src/common/leaseTiming.ts
@@ -3,7 +3,7 @@
   /** Time for which a renewal is valid, counted on the server's clock. */
   leaseMilliseconds: 1_000,
   /** Pause between two renewals of the same lease by the same renewer. */
-  renewalPauseMilliseconds: 250,
+  renewalPauseMilliseconds: 320,
   /** Limit of one renewal. */
   renewalTimeoutMilliseconds: 400,
   /** Silence after which a server is suspected. */
--- a/packages/ownership/src/common/loadBalancePolicy.ts
+++ b/packages/ownership/src/common/loadBalancePolicy.ts
@@ -13,8 +13,8 @@
 export interface LoadBalanceOptions {
   /** Excess over the mean above which moves start. */
   readonly startRatio: number;
-  /** Excess over the mean below which moves stop. */
-  readonly stopRatio: number;
+  /** Relief that a move must bring, as a share of the mean, to be worth its cost. */
+  readonly leastGain: number;
   /** Units that may be moved for balance in one interval. */
   readonly movesPerInterval: number;
   /** Length of an interval in milliseconds. */
@@ -31,7 +31,7 @@
 
 export const defaultLoadBalanceOptions: LoadBalanceOptions = {
   startRatio: 1.15,
-  stopRatio: 1.05,
+  leastGain: 0.04,
   movesPerInterval: 8,
   intervalMilliseconds: 2_000,
   pinShare: 0.05,
@@ -40,6 +40,10 @@
   idleWork: 20,
 };
 
+/** Heaviest units of a busy server, and idlest servers, among which the best move is sought. */
+const UNITS_CONSIDERED = 48;
+const TARGETS_CONSIDERED = 8;
+
 /** Work that a unit counts for before any load was reported, in busy milliseconds per second. */
 const MINIMUM_UNIT_WORK = 0.01;
 
@@ -51,11 +55,10 @@
 
 /**
  * Balances by observed work. A server's work is judged relative to its speed. Moves for balance are bounded
- * per interval, and hysteresis keeps small differences from moving anything.
+ * per interval, and a least gain keeps small differences from moving anything.
  */
 export class LoadBalancePolicy implements BalancePolicy {
   readonly #options: LoadBalanceOptions;
-  #isBalancing = false;
   #nextMoveAt = 0;
 
   constructor(options: LoadBalanceOptions = defaultLoadBalanceOptions) {
@@ -144,30 +147,27 @@
     return moves;
   }
 
+  /** The best move away from the busiest server that any move can relieve. */
   #nextMove(
     servers: readonly ServerWork[],
     remaining: ReadonlyMap<number, Unit[]>,
     load: GroupLoad,
   ): Placement | undefined {
-    const busiest = extreme(servers, (left, right) => relativeWork(left) > relativeWork(right));
-    const idlest = extreme(servers, (left, right) => relativeWork(left) < relativeWork(right));
-    if (busiest === undefined || idlest === undefined || busiest === idlest) {
-      return undefined;
-    }
-    const ratio = relativeWork(busiest) / meanRelativeWork(servers);
-    this.#isBalancing = ratio > (this.#isBalancing ? this.#options.stopRatio : this.#options.startRatio);
-    if (!this.#isBalancing) {
-      return undefined;
-    }
-    const units = remaining.get(busiest.server.number) ?? [];
-    const unit = bestUnit(units, busiest, idlest, load);
-    if (unit === undefined) {
-      return undefined;
+    const mean = meanRelativeWork(servers);
+    const busy = servers
+      .filter((server) => relativeWork(server) > this.#options.startRatio * mean)
+      .sort((left, right) => relativeWork(right) - relativeWork(left));
+    for (const from of busy) {
+      const units = remaining.get(from.server.number) ?? [];
+      const move = bestMove(from, units, servers, load);
+      if (move !== undefined && move.gain >= this.#options.leastGain * mean) {
+        units.splice(units.indexOf(move.unit), 1);
+        from.work -= workOf(move.unit, load);
+        move.towards.work += workOf(move.unit, load);
+        return { unit: move.unit, owner: move.towards.server.number };
+      }
     }
-    units.splice(units.indexOf(unit), 1);
-    busiest.work -= workOf(unit, load);
-    idlest.work += workOf(unit, load);
-    return { unit, owner: idlest.server.number };
+    return undefined;
   }
 
   #serverWork(draft: AssignmentDraft, load: GroupLoad): ServerWork[] {
@@ -197,17 +197,38 @@
   });
 }
 
-/** The unit whose move narrows the gap between two servers most without reversing it. */
-function bestUnit(
-  units: readonly Unit[],
+interface Move {
+  readonly unit: Unit;
+  readonly towards: ServerWork;
+  /** Relative work by which the busier of the two servers gets relief. */
+  readonly gain: number;
+}
+
+/** The move that leaves the busier of both servers with the least relative work. */
+function bestMove(
   from: ServerWork,
-  towards: ServerWork,
+  units: readonly Unit[],
+  servers: readonly ServerWork[],
   load: GroupLoad,
-): Unit | undefined {
-  const gap = relativeWork(from) - relativeWork(towards);
-  const ideal = gap / (1 / from.speed + 1 / towards.speed);
-  const fitting = units.filter((unit) => workOf(unit, load) <= ideal);
-  return extreme(fitting, (left, right) => workOf(left, load) > workOf(right, load));
+): Move | undefined {
+  const heaviest = [...units]
+    .sort((left, right) => workOf(right, load) - workOf(left, load))
+    .slice(0, UNITS_CONSIDERED);
+  const idlest = [...servers]
+    .sort((left, right) => relativeWork(left) - relativeWork(right))
+    .slice(0, TARGETS_CONSIDERED);
+  const moves = heaviest.flatMap((unit) =>
+    idlest
+      .filter((towards) => towards !== from)
+      .map((towards) => ({ unit, towards, gain: gainOf(from, towards, unit, load) })),
+  );
+  return extreme(moves, (left, right) => left.gain > right.gain);
+}
+
+function gainOf(from: ServerWork, towards: ServerWork, unit: Unit, load: GroupLoad): number {
+  const work = workOf(unit, load);
+  const busierAfter = Math.max((from.work - work) / from.speed, (towards.work + work) / towards.speed);
+  return relativeWork(from) - busierAfter;
 }
 
 function workOf({ unit }: Unit, load: GroupLoad): number {
--- a/packages/ownership/src/common/memberRegistry.ts
+++ b/packages/ownership/src/common/memberRegistry.ts
@@ -51,7 +51,7 @@
   }
 
   record(session: FollowerSession, report: FollowerReport): void {
-    session.entryVm = report.entryVm;
+    session.entryVm = report.entryVm ?? session.entryVm;
     session.isLeaving = report.isLeaving;
     session.lastHeardAt = performance.now();
     session.appliedRevision = report.appliedRevision;
--- a/packages/ownership/src/common/observations.ts
+++ b/packages/ownership/src/common/observations.ts
@@ -56,6 +56,8 @@
   readonly wanted: readonly WantedServer[];
   readonly servers: ReadonlyMap<string, ServerObservation>;
   readonly members: readonly Member[];
+  /** Entry VM that runs the assigner. */
+  readonly assignerId: string;
   readonly load: GroupLoad;
   /** The assigner has held its term for long enough that every follower should have connected. */
   readonly isSettled: boolean;
--- a/packages/ownership/src/common/renewerSelection.ts
+++ b/packages/ownership/src/common/renewerSelection.ts
@@ -11,6 +11,8 @@
   readonly availabilityZone: string;
   /** Entry VM that must not renew, because the subject runs on it. */
   readonly entryVmId: string | undefined;
+  /** Entry VM that runs the assigner; others go first, so that losing it together with the subject is not slow. */
+  readonly assignerId: string;
 }
 
 /**
@@ -49,6 +51,7 @@
   const isCurrent = current.some(
     ({ id, incarnation }) => id === candidate.id && incarnation === candidate.incarnation,
   );
-  const preference = (isOutside ? 4 : 0) + (isApart ? 2 : 0) + (isCurrent ? 1 : 0);
+  const isNoAssigner = candidate.id !== subject.assignerId;
+  const preference = (isNoAssigner ? 8 : 0) + (isOutside ? 4 : 0) + (isApart ? 2 : 0) + (isCurrent ? 1 : 0);
   return preference + rendezvousScore(hasher, subject.address, candidate.id) / 2 ** 48;
 }
--- a/packages/ownership/src/common/serverContact.ts
+++ b/packages/ownership/src/common/serverContact.ts
@@ -15,7 +15,10 @@
 import type { ServerClient } from './serverClient.js';
 
 const CONTACT_PAUSE_MILLISECONDS = 100;
+/** Pause between two questions to a server of which nothing else is heard. */
 const DESCRIBE_PAUSE_MILLISECONDS = 300;
+/** Pause between two questions to a server whose renewers report that it answers. */
+const CALM_DESCRIBE_PAUSE_MILLISECONDS = 5_000;
 
 /** A grant that was built for one assignment. */
 interface PreparedGrant {
@@ -37,6 +40,7 @@
   #acknowledgedContent = '';
   #acknowledgedRevision = 0;
   #isBusy = false;
+  #isCalm = false;
 
   constructor(address: string, servers: ServerClient) {
     super();
@@ -70,6 +74,11 @@
     return this.#acknowledgedRevision;
   }
 
+  /** States whether others hear the server, so that it need not be asked as often. */
+  setCalm(isCalm: boolean): void {
+    this.#isCalm = isCalm;
+  }
+
   /** Takes over a durable assignment and sends the grant that follows from it. */
   follow(assignment: Assignment): void {
     this.#assignment = assignment;
@@ -121,7 +130,8 @@
   }
 
   async #describeWhenDue(): Promise<void> {
-    if (performance.now() - this.#lastDescribeAt < DESCRIBE_PAUSE_MILLISECONDS) {
+    const pause = this.#isCalm ? CALM_DESCRIBE_PAUSE_MILLISECONDS : DESCRIBE_PAUSE_MILLISECONDS;
+    if (performance.now() - this.#lastDescribeAt < pause) {
       return;
     }
     this.#lastDescribeAt = performance.now();
--- a/packages/ownership/src/common/serverObserver.ts
+++ b/packages/ownership/src/common/serverObserver.ts
@@ -71,6 +71,7 @@
 
   /** Begins or ends a withdrawal according to the newest reports. */
   update(record: ServerRecord | undefined, sessions: readonly FollowerSession[]): void {
+    this.#contact.setCalm(this.#isHeardByRenewers(record, sessions));
     this.#updateRetirement(record);
     const isObsolete =
       this.#withdrawal !== undefined && this.#withdrawal.renewerFence !== record?.renewerFence;
@@ -93,7 +94,7 @@
       incarnation: state?.incarnation ?? '',
       fenceSupport: this.#contact.fenceSupport,
       isLeaving: state?.isLeaving === true || reports.some(({ isLeaving }) => isLeaving),
-      isAnswering: this.#isAnswering(),
+      isAnswering: this.#isAnswering(record, sessions),
       isSilent: record !== undefined && this.#isSilent(record, sessions),
       acknowledgedRevision: this.#acknowledgedRevision(record, reports),
       drainingKeys: state?.drainingKeys ?? [],
@@ -114,9 +115,20 @@
     this.#withdrawal = undefined;
   }
 
-  #isAnswering(): boolean {
+  /** Whether a renewer reports that the incarnation that this assigner knows answers. */
+  #isHeardByRenewers(record: ServerRecord | undefined, sessions: readonly FollowerSession[]): boolean {
+    const incarnation = this.#contact.state?.incarnation ?? '';
+    return this.#reports(record, sessions).some(
+      (report) =>
+        report.silentMilliseconds < leaseTiming.suspicionMilliseconds && report.incarnation === incarnation,
+    );
+  }
+
+  #isAnswering(record: ServerRecord | undefined, sessions: readonly FollowerSession[]): boolean {
     const { lastAnswerAt } = this.#contact;
-    return lastAnswerAt !== undefined && performance.now() - lastAnswerAt < leaseTiming.suspicionMilliseconds;
+    const isHeardHere =
+      lastAnswerAt !== undefined && performance.now() - lastAnswerAt < leaseTiming.suspicionMilliseconds;
+    return isHeardHere || this.#isHeardByRenewers(record, sessions);
   }
 
   #isSilent(record: ServerRecord, sessions: readonly FollowerSession[]): boolean {
@@ -126,7 +138,7 @@
     );
     const isKnownToAll = reports.length > 0 && reports.length === record.renewers.length;
     const isKnownHere = performance.now() - this.#startedAt >= leaseTiming.suspicionMilliseconds;
-    return isSilentForAll && (isKnownToAll || isKnownHere) && !this.#isAnswering();
+    return isSilentForAll && (isKnownToAll || isKnownHere) && !this.#isAnswering(record, sessions);
   }
 
   #reports(
--- a/packages/ownership/src/common/test/fakes/fakeRegion.ts
+++ b/packages/ownership/src/common/test/fakes/fakeRegion.ts
@@ -1,3 +1,4 @@
+import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import type { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import { ConfigurationStore } from '@hickoryhoist/configuration/common/configurationStore.js';
@@ -105,7 +106,12 @@
         },
       },
       seedAddresses: this.entryVmIds,
-      crashes: { report: () => [], findRefused: () => [], refuse: () => undefined },
+      crashes: {
+        onDidRecordLoss: new Emitter<void>().event,
+        report: () => [],
+        findRefused: () => [],
+        refuse: () => undefined,
+      },
       loadReport: (group) => this.#options.loadReport?.(id, group),
     });
     this.#entryVms.set(id, control);
--- a/packages/ownership/src/node/httpServerClient.ts
+++ b/packages/ownership/src/node/httpServerClient.ts
@@ -20,13 +20,17 @@
   }
 
   async order(address: string, order: OwnershipOrder, timeoutMilliseconds: number): Promise<OrderAnswer> {
+    const cancellation = new AbortController();
+    const timer = setTimeout(() => {
+      cancellation.abort();
+    }, timeoutMilliseconds);
     try {
       const response = await request(`http://${address}${OWNERSHIP_PATH}`, {
         dispatcher: this.#dispatcher,
         method: 'POST',
         body: JSON.stringify(order),
         headers: { 'content-type': 'application/json' },
-        signal: AbortSignal.timeout(timeoutMilliseconds),
+        signal: cancellation.signal,
       });
       const text = await response.body.text();
       switch (response.statusCode) {
@@ -39,6 +43,8 @@
       }
     } catch (error) {
       throw new ServerUnreachableError(`${address}: ${describeError(error)}`, { cause: error });
+    } finally {
+      clearTimeout(timer);
     }
   }
 }
--- a/packages/protocol/src/common/assignmentDelta.ts
+++ b/packages/protocol/src/common/assignmentDelta.ts
@@ -1,6 +1,9 @@
 import type { AssignmentDelta } from '../generated/hickoryhoist/control/v1/control.js';
 import { type Assignment, assignmentSchema, type Pin, type ServerRecord } from './assignment.js';
 
+/** The parts of a delta that are checked before they are taken over. */
+const deltaSchema = assignmentSchema.unwrap().pick({ servers: true, releases: true, pins: true });
+
 /** Computes what turns `before` into `after`. Both must have the same number of slices. */
 export function diffAssignments(before: Assignment, after: Assignment): AssignmentDelta {
   const earlierServers = new Map(before.servers.map((server) => [server.number, server]));
@@ -32,29 +35,34 @@
   for (const { slice, owner } of delta.owners) {
     owners[slice] = owner;
   }
-  return assignmentSchema.parse({
+  const changed = deltaSchema.parse({ servers: delta.servers, releases: delta.releases, pins: delta.pins });
+  return {
     group: base.group,
     revision: delta.revision,
     term: delta.term,
     writeId: delta.writeId,
     owners,
-    servers: mergeServers(base.servers, delta),
-    releases: delta.releases,
-    pins: mergePins(base.pins, delta),
-  });
+    servers: mergeServers(base.servers, changed.servers, delta.removedServers),
+    releases: changed.releases,
+    pins: mergePins(base.pins, changed.pins, delta.removedPins),
+  };
 }
 
-function mergeServers(base: readonly ServerRecord[], delta: AssignmentDelta): unknown[] {
-  const servers = new Map<number, unknown>(base.map((server) => [server.number, server]));
-  delta.removedServers.forEach((number) => servers.delete(number));
-  delta.servers.forEach((server) => servers.set(server.number, server));
+function mergeServers(
+  base: readonly ServerRecord[],
+  changed: readonly ServerRecord[],
+  removed: readonly number[],
+): ServerRecord[] {
+  const servers = new Map(base.map((server) => [server.number, server]));
+  removed.forEach((number) => servers.delete(number));
+  changed.forEach((server) => servers.set(server.number, server));
   return [...servers.values()];
 }
 
-function mergePins(base: readonly Pin[], delta: AssignmentDelta): Pin[] {
+function mergePins(base: readonly Pin[], changed: readonly Pin[], removed: readonly string[]): Pin[] {
   const pins = new Map(base.map((pin) => [pin.keyHash, pin]));
-  delta.removedPins.forEach((keyHash) => pins.delete(keyHash));
-  delta.pins.forEach((pin) => pins.set(pin.keyHash, pin));
+  removed.forEach((keyHash) => pins.delete(keyHash));
+  changed.forEach((pin) => pins.set(pin.keyHash, pin));
   return [...pins.values()];
 }
 
--- a/packages/standIns/src/common/experiments/balanceExperiment.ts
+++ b/packages/standIns/src/common/experiments/balanceExperiment.ts
@@ -116,7 +116,7 @@
       isLeaving: false,
     }));
     const load = this.#workload.load(this.#assignment.pins);
-    return { wanted, servers: new Map(observations), members: [], load, isSettled: true };
+    return { wanted, servers: new Map(observations), members: [], assignerId: '', load, isSettled: true };
   }
 
   #observeServer(server: number, second: number): ServerObservation {
--- a/packages/standIns/src/common/experiments/balanceWorkload.ts
+++ b/packages/standIns/src/common/experiments/balanceWorkload.ts
@@ -34,6 +34,7 @@
   readonly #ranks: number[];
   readonly #weights: readonly number[];
   readonly #random: RandomSource;
+  #load: GroupLoad | undefined;
 
   private constructor(options: BalanceWorkloadOptions, hasher: KeyHasher) {
     this.options = options;
@@ -65,6 +66,7 @@
     if (second === 0 || second % HOT_CHANGE_SECONDS !== 0) {
       return;
     }
+    this.#load = undefined;
     for (let hot = 0; hot < HOT_KEYS; hot += 1) {
       const other = this.#random.integer(0, this.#ranks.length - 1);
       [this.#ranks[hot], this.#ranks[other]] = [this.#ranks[other] ?? 0, this.#ranks[hot] ?? 0];
@@ -78,15 +80,23 @@
 
   /** The load as the gateways would report it. */
   load(pins: readonly Pin[]): GroupLoad {
-    const pinned = new Set(pins.map(({ keyHash }) => keyHash));
+    this.#load ??= this.#sumUp();
+    const { total, keys, speeds } = this.#load;
+    const slices = new Map(this.#load.slices);
+    for (const { keyHash } of pins) {
+      const slice = sliceOf(keyHash, this.options.sliceCount);
+      slices.set(slice, Math.max(0, (slices.get(slice) ?? 0) - (keys.get(keyHash) ?? 0)));
+    }
+    return { total, slices, keys, speeds };
+  }
+
+  #sumUp(): GroupLoad {
     const slices = new Map<number, number>();
     let total = 0;
-    this.keys.forEach(({ keyHash, slice }, index) => {
+    this.keys.forEach(({ slice }, index) => {
       const work = this.workOf(index);
       total += work;
-      if (!pinned.has(keyHash)) {
-        slices.set(slice, (slices.get(slice) ?? 0) + work);
-      }
+      slices.set(slice, (slices.get(slice) ?? 0) + work);
     });
     const hottest = this.keys
       .map(({ keyHash }, index): [string, number] => [keyHash, this.workOf(index)])
--- a/packages/standIns/src/common/experiments/loadExperiment.ts
+++ b/packages/standIns/src/common/experiments/loadExperiment.ts
@@ -63,7 +63,7 @@
   const servers = createServers(options, random);
   const service = createService(options, [...servers.keys()]);
   const executors = await createExecutors(options, servers, service, random);
-  const latency = build({ numberOfSignificantValueDigits: 3 });
+  const latency = build({ numberOfSignificantValueDigits: 5 });
   const capacityPerSecond = capacityOf(options);
   const rate = (capacityPerSecond * options.load) / 1_000;
   const tally = { answered: 0, notRun: 0, unknown: 0, offered: 0 };
--- a/packages/standIns/src/common/experiments/loadPolicies.ts
+++ b/packages/standIns/src/common/experiments/loadPolicies.ts
@@ -9,5 +9,4 @@
     sharing: 'adaptive',
     choice: 'two-choices',
   },
-  'proportional reduction between one and full': { sharing: 'proportional', choice: 'two-choices' },
 };
--- a/packages/standIns/src/node/balanceExperimentMain.ts
+++ b/packages/standIns/src/node/balanceExperimentMain.ts
@@ -12,8 +12,8 @@
 import { BalanceWorkload } from '../common/experiments/balanceWorkload.js';
 import { BoundedRendezvousPlacer, HashRingPlacer } from '../common/experiments/baselinePlacers.js';
 
-const SEEDS: readonly number[] = [1, 2, 3];
-const SECONDS = 600;
+const SEEDS: readonly number[] = [1, 2];
+const SECONDS = 480;
 const shapes = { 'catalogue, 17 servers': 17, 'availability board, 20 servers': 20 } as const;
 const users = {
   Bibliobus: { imbalance: 1, churn: 1, unavailableTime: 3 },
@@ -42,7 +42,7 @@
   for (const [name, create] of Object.entries(placers)) {
     const results: BalanceResult[] = [];
     for (const seed of SEEDS) {
-      const options = { seed, servers, sliceCount: 1_024, keys: 20_000, seconds: SECONDS };
+      const options = { seed, servers, sliceCount: 1_024, keys: 10_000, seconds: SECONDS };
       const workload = await BalanceWorkload.create(options);
       results.push(runBalanceExperiment(workload, create(workload)));
     }
--- /dev/null
+++ b/packages/standIns/src/node/capacity/controlCosts.ts
@@ -0,0 +1,148 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { Agent } from 'undici';
+import { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import { IdempotencyLedger } from '@hickoryhoist/gateway/common/idempotencyLedger.js';
+import { AssignmentPlanner } from '@hickoryhoist/ownership/common/assignmentPlanner.js';
+import { LeaseRenewer } from '@hickoryhoist/ownership/common/leaseRenewer.js';
+import { LoadBalancePolicy } from '@hickoryhoist/ownership/common/loadBalancePolicy.js';
+import { unknownLoad } from '@hickoryhoist/ownership/common/loadAggregation.js';
+import type { Observations, ServerObservation } from '@hickoryhoist/ownership/common/observations.js';
+import { HttpServerClient } from '@hickoryhoist/ownership/node/httpServerClient.js';
+import type { Assignment } from '@hickoryhoist/protocol/common/assignment.js';
+import { applyDelta, diffAssignments } from '@hickoryhoist/protocol/common/assignmentDelta.js';
+import type { Point } from '../../common/capacity/linearFit.js';
+import { sampleAssignment, sampleEntryVm, withMoves } from '../../common/capacity/messageSizes.js';
+import type { ProcessRig } from '../processRig.js';
+import { microsecondsPerRun, ownMilliseconds } from './processorTime.js';
+
+const PLANNER_RUNS = 200;
+const DELTA_RUNS = 300;
+const RENEWAL_SECONDS = 6;
+const LEDGER_OUTCOME = { kind: 'answered', status: 200, headers: {}, body: Buffer.alloc(200) } as const;
+
+/** Processor time of one planning step against the number of servers, in microseconds. */
+export async function plannerCosts(slices: number, sizes: readonly number[]): Promise<readonly Point[]> {
+  const planner = new AssignmentPlanner(await KeyHasher.create(), new LoadBalancePolicy());
+  return sizes.map((size) => {
+    const assignment = sampleAssignment(size, slices);
+    const observations = quietObservations(assignment);
+    const cost = microsecondsPerRun(PLANNER_RUNS, () => {
+      planner.plan(assignment, observations);
+    });
+    return { size, cost };
+  });
+}
+
+/** Processor time for applying a delta of eight moves against the number of slices, in microseconds. */
+export function deltaCosts(servers: number, sizes: readonly number[]): readonly Point[] {
+  return sizes.map((size) => {
+    const assignment = sampleAssignment(servers, size);
+    const delta = diffAssignments(assignment, withMoves(assignment, 8));
+    const cost = microsecondsPerRun(DELTA_RUNS, () => {
+      applyDelta(assignment, delta);
+    });
+    return { size, cost };
+  });
+}
+
+/** Processor time of renewals over HTTP against the number of servers, in milliseconds a second. */
+export async function renewalCosts(rig: ProcessRig, sizes: readonly number[]): Promise<readonly Point[]> {
+  const server = await rig.startServer({}, undefined, '0.0.0.0');
+  const port = server.address.slice(server.address.indexOf(':'));
+  const points: Point[] = [];
+  for (const size of sizes) {
+    const agent = new Agent();
+    const self = sampleEntryVm(1);
+    const renewer = new LeaseRenewer(self, new HttpServerClient(agent), silentLogger);
+    const assignment = sampleAssignment(size, size);
+    const servers = assignment.servers.map((record, index) => ({
+      ...record,
+      address: `127.0.${Math.floor(index / 250).toString()}.${((index % 250) + 1).toString()}${port}`,
+      renewers: [self],
+    }));
+    renewer.follow({ ...assignment, servers });
+    await wait(1_000);
+    const cost = await ownMilliseconds(() => wait(RENEWAL_SECONDS * 1_000));
+    points.push({ size, cost: cost / RENEWAL_SECONDS });
+    renewer.dispose();
+    await agent.destroy();
+  }
+  return points;
+}
+
+/** Heap of a ledger against the number of its entries, in kilobytes. */
+export function ledgerCosts(sizes: readonly number[]): Promise<readonly Point[]> {
+  return measureInTurn(sizes, async (size) => {
+    const before = settledHeap();
+    const ledger = new IdempotencyLedger();
+    for (let entry = 0; entry < size; entry += 1) {
+      const request = {
+        idempotencyKey: `booking-${entry.toString()}`,
+        method: 'POST',
+        target: '/',
+        body: Buffer.alloc(0),
+      };
+      await ledger.run(request, undefined, () =>
+        Promise.resolve({ ...LEDGER_OUTCOME, body: Buffer.alloc(200) }),
+      );
+    }
+    const cost = (settledHeap() - before) / 1_024;
+    return ledger.size === size ? cost : Number.NaN;
+  });
+}
+
+/** Heap of an assignment against the number of its slices, in kilobytes. */
+export function assignmentHeap(servers: number, sizes: readonly number[]): Promise<readonly Point[]> {
+  return measureInTurn(sizes, (size) => {
+    const before = settledHeap();
+    const assignment = structuredClone(sampleAssignment(servers, size));
+    const cost = (settledHeap() - before) / 1_024;
+    return Promise.resolve(assignment.owners.length === size ? cost : Number.NaN);
+  });
+}
+
+async function measureInTurn(
+  sizes: readonly number[],
+  measure: (size: number) => Promise<number>,
+): Promise<readonly Point[]> {
+  const points: Point[] = [];
+  for (const size of sizes) {
+    points.push({ size, cost: await measure(size) });
+  }
+  return points;
+}
+
+function settledHeap(): number {
+  globalThis.gc?.();
+  globalThis.gc?.();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
+
+function quietObservations(assignment: Assignment): Observations {
+  const observed = assignment.servers.map((server): [string, ServerObservation] => [
+    server.address,
+    {
+      address: server.address,
+      incarnation: server.incarnation,
+      fenceSupport: 'checked',
+      isLeaving: false,
+      isAnswering: true,
+      isSilent: false,
+      acknowledgedRevision: assignment.revision,
+      drainingKeys: [],
+      adoptedRenewerFence: server.renewerFence,
+      withdrawingFence: 0,
+      lapsedFence: 0,
+    },
+  ]);
+  const wanted = assignment.servers.map(({ address, availabilityZone }) => ({
+    address,
+    availabilityZone,
+    isLeaving: false,
+  }));
+  const renewers = assignment.servers[0]?.renewers ?? [];
+  const members = renewers.map((entryVm) => ({ entryVm, isLeaving: false }));
+  return { wanted, servers: new Map(observed), members, assignerId: '', load: unknownLoad, isSettled: true };
+}
--- /dev/null
+++ b/packages/standIns/src/node/capacity/streamCosts.ts
@@ -0,0 +1,91 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import { Assigner } from '@hickoryhoist/ownership/common/assigner.js';
+import { AssignmentPlanner } from '@hickoryhoist/ownership/common/assignmentPlanner.js';
+import { AssignmentStore } from '@hickoryhoist/ownership/common/assignmentStore.js';
+import { Follower } from '@hickoryhoist/ownership/common/follower.js';
+import { LoadBalancePolicy } from '@hickoryhoist/ownership/common/loadBalancePolicy.js';
+import type { PeerHandler } from '@hickoryhoist/ownership/common/peerClient.js';
+import { ServerUnreachableError } from '@hickoryhoist/ownership/common/serverClient.js';
+import { GrpcControlServer } from '@hickoryhoist/ownership/node/grpcControlServer.js';
+import { GrpcPeerClient } from '@hickoryhoist/ownership/node/grpcPeerClient.js';
+import { MemoryPlatform } from '@hickoryhoist/platform/common/memoryPlatform.js';
+import type { Point } from '../../common/capacity/linearFit.js';
+import { sampleEntryVm } from '../../common/capacity/messageSizes.js';
+import { ownMilliseconds } from './processorTime.js';
+
+const GROUP = 'streams';
+const OBSERVED_SECONDS = 5;
+
+/** Processor time of both ends of the followers' streams against their number, in milliseconds a second. */
+export async function streamCosts(sizes: readonly number[]): Promise<readonly Point[]> {
+  await measureStreams(Math.max(...sizes));
+  const points: Point[] = [];
+  for (const size of sizes) {
+    points.push({ size, cost: await measureStreams(size) });
+  }
+  return points;
+}
+
+async function measureStreams(size: number): Promise<number> {
+  const self = sampleEntryVm(0);
+  const store = new AssignmentStore(new MemoryPlatform().table, GROUP);
+  const held = await store.takeTerm(await store.readTerm(), self);
+  if (held === undefined) {
+    throw new ServerUnreachableError('the first term of a new store was refused');
+  }
+  const peers = new GrpcPeerClient();
+  const assigner = new Assigner({
+    group: GROUP,
+    self,
+    sliceCount: 1_024,
+    held,
+    store,
+    planner: new AssignmentPlanner(await KeyHasher.create(), new LoadBalancePolicy()),
+    servers: { order: (address) => Promise.reject(new ServerUnreachableError(address)) },
+    peers,
+    logger: silentLogger,
+    wantedServers: () => [],
+    configuration: () => undefined,
+    findRefused: () => [],
+  });
+  const controlServer = new GrpcControlServer(handlerOf(assigner));
+  const port = await controlServer.listen('127.0.0.1:0');
+  const clients = Array.from({ length: size }, () => new GrpcPeerClient());
+  const followers = clients.map((client, index) => startFollower(client, index + 1, port));
+  await wait(2_000);
+  const cost = await ownMilliseconds(() => wait(OBSERVED_SECONDS * 1_000));
+  [...followers, ...clients, assigner, peers, controlServer].forEach((part) => {
+    part.dispose();
+  });
+  return cost / OBSERVED_SECONDS;
+}
+
+function startFollower(peers: GrpcPeerClient, index: number, port: number): Follower {
+  const follower = new Follower({
+    group: GROUP,
+    self: sampleEntryVm(index),
+    peers,
+    logger: silentLogger,
+    reportDetails: () => ({
+      configurationRevision: 0,
+      isLeaving: false,
+      servers: [],
+      load: undefined,
+      crashSuspects: [],
+    }),
+  });
+  follower.redirect(`127.0.0.1:${port.toString()}`);
+  return follower;
+}
+
+function handlerOf(assigner: Assigner): PeerHandler {
+  return {
+    acceptFollower: (connection) => assigner.acceptFollower(connection),
+    withdraw: () => ({ incarnation: '', lapseMilliseconds: 0 }),
+    renewRoutes: () => ({ incarnation: '', isGranted: [] }),
+    fetchState: () => ({ configuration: undefined, groups: [], entryVms: [] }),
+    confirmLost: () => ({ groups: [] }),
+  };
+}
--- a/packages/standIns/src/node/processRig.ts
+++ b/packages/standIns/src/node/processRig.ts
@@ -62,10 +62,23 @@
     return started;
   }
 
-  async startServer(behaviour: Partial<ServerBehaviour> = {}, port?: number): Promise<RigProcess> {
+  /** @param host address on which the server listens; the rig reaches it on the loopback interface. */
+  async startServer(
+    behaviour: Partial<ServerBehaviour> = {},
+    port?: number,
+    host = HOST,
+  ): Promise<RigProcess> {
     const chosen = port ?? (await findFreePort());
     const address = `${HOST}:${chosen.toString()}`;
-    const words = ['server', '--port', chosen.toString(), '--behaviour', JSON.stringify(behaviour)];
+    const words = [
+      'server',
+      '--host',
+      host,
+      '--port',
+      chosen.toString(),
+      '--behaviour',
+      JSON.stringify(behaviour),
+    ];
     const started = this.#spawn('standIns/src/node/standInMain.ts', words, address);
     await until('the server answers', () => isListening(address, '/control/executions'));
     return started;
