Mend the text of the failure test for real processes

Ruled out: a fault of the product. Change: the calls are spelled out again; no check or bound changed. Before: the file did not parse. Conclusion: restored.

--- a/packages/standIns/src/node/test/failures.process.test.ts
+++ b/packages/standIns/src/node/test/failures.process.test.ts
@@ -54,7 +54,11 @@
     assert.is(await rig.runCommand(['publish', rig.directory, '--platform', platform.address]), 0);
     const start = (zone: string): Promise<EntryVmRigProcess> =>
       rig.startEntryVm({ id: `vm-${zone}`, availabilityZone: zone, platformAddress: platform.address });
-    const entryVms = [await start('es-north-1'), await start('es-north-2'), await start('es-north-3')] as const;
+    const entryVms = [
+      await start('es-north-1'),
+      await start('es-north-2'),
+      await start('es-north-3'),
+    ] as const;
     for (const entryVm of entryVms) {
       await until(`${entryVm.id} serves`, async () => {
         const groups = (await readStatus(entryVm))?.groups ?? [];
@@ -79,15 +83,15 @@
     withRegion('pooled', async ({ servers, entryVms }) => {
       const keys = Array.from({ length: 8 }, (_unused, index) => `booking-${index.toString()}`);
       for (const key of keys) {
-        assert.is((await sendentryVms[0], key, key)).outcome, 'answered');
+        assert.is((await send(entryVms[0], key, key)).outcome, 'answered');
       }
       entryVms[1].child.kill('SIGKILL');
-      const resent = await Promise.all(keys.map((key) => sendentryVms[2], key, key)));
+      const resent = await Promise.all(keys.map((key) => send(entryVms[2], key, key)));
       assert.ok(resent.every(({ outcome }) => outcome !== 'not-run'));
       entryVms[0].child.kill('SIGSTOP');
-      await Promise.all(keys.map((key) => sendentryVms[2], key, key)));
+      await Promise.all(keys.map((key) => send(entryVms[2], key, key)));
       entryVms[0].child.kill('SIGCONT');
-      await Promise.all(keys.map((key) => sendentryVms[0], key, key)));
+      await Promise.all(keys.map((key) => send(entryVms[0], key, key)));
       for (const key of keys) {
         assert.is(await countRuns(servers, key), 1);
       }
@@ -107,6 +111,6 @@
       const lost = servers.filter(({ child }) => child.exitCode !== null);
       assert.ok(lost.length <= LOSS_LIMIT + 1, `${lost.length.toString()} servers lost`);
       assert.equal(told.at(-1), { outcome: 'not-run', reason: 'crashes-servers' });
-      assert.is((await sendentryVms[0], 'harmless')).outcome, 'answered');
+      assert.is((await send(entryVms[0], 'harmless')).outcome, 'answered');
     }));
 });
