Read the code as a newcomer: split the control of an entry VM, drop dead code

Ruled out: a change of behaviour. Change: contact with peers and the exchange about crashes have files of their own; a test for route leases of a returning entry VM.

--- a/packages/base/src/common/asynchronous.ts
+++ b/packages/base/src/common/asynchronous.ts
@@ -1,4 +1,4 @@
-import { CancellationError, TimeoutError } from './errors.js';
+import { CancellationError } from './errors.js';
 import { type Disposable, toDisposable } from './disposable.js';
 
 /**
@@ -23,30 +23,6 @@
   });
 }
 
-/**
- * Bounds an operation in time. The operation receives a signal that aborts at the limit.
- * @throws TimeoutError when the limit passes before the operation settles.
- */
-export async function withTimeout<T>(
-  milliseconds: number,
-  description: string,
-  operation: (signal: AbortSignal) => Promise<T>,
-): Promise<T> {
-  const controller = new AbortController();
-  let timer: NodeJS.Timeout | undefined;
-  const limit = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(() => {
-      reject(new TimeoutError(`${description} took longer than ${milliseconds.toString()} ms`));
-      controller.abort();
-    }, milliseconds);
-  });
-  try {
-    return await Promise.race([operation(controller.signal), limit]);
-  } finally {
-    clearTimeout(timer);
-  }
-}
-
 /** Runs an operation again and again with a pause between the end of one run and the next start. */
 export function repeat(
   pauseMilliseconds: () => number,
--- a/packages/base/src/common/errors.ts
+++ b/packages/base/src/common/errors.ts
@@ -8,11 +8,6 @@
   }
 }
 
-/** Raised when an operation did not finish within its time limit. */
-export class TimeoutError extends HickoryhoistError {
-  readonly code = 'timeout';
-}
-
 /** Raised when an operation was stopped through its `AbortSignal`. */
 export class CancellationError extends HickoryhoistError {
   readonly code = 'cancelled';
@@ -27,8 +22,3 @@
 export function describeError(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
-
-/** Makes a switch over a union exhaustive: a new member fails the type check here. */
-export function assertNever(value: never): never {
-  throw new InvariantError(`unexpected value ${JSON.stringify(value)}`);
-}
--- a/packages/configuration/src/common/serviceFile.ts
+++ b/packages/configuration/src/common/serviceFile.ts
@@ -61,6 +61,3 @@
 
 /** A service whose keys have one owning server each. */
 export type KeyedService = z.output<typeof keyedSchema>;
-
-/** A service that any of its servers can run. */
-export type PooledService = z.output<typeof pooledSchema>;
--- a/packages/daemon/src/common/burnReportText.ts
+++ b/packages/daemon/src/common/burnReportText.ts
@@ -1,6 +1,6 @@
 import type { BurnReport, ServiceBurn } from './burnReport.js';
 
-const COLUMN_WIDTH = 12;
+const COLUMN_WIDTH = 15;
 const SERVICE_WIDTH = 22;
 
 /** Formats a report as a table for a terminal. */
--- /dev/null
+++ b/packages/ownership/src/common/crashExchange.ts
@@ -0,0 +1,10 @@
+import type { Event } from '@hickoryhoist/base/common/emitter.js';
+import type { CrashSuspect } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
+
+/** Exchange with the gateway about requests that crash servers. */
+export interface CrashExchange {
+  readonly onDidRecordLoss: Event<void>;
+  report(): readonly CrashSuspect[];
+  findRefused(suspects: readonly (readonly CrashSuspect[])[]): readonly string[];
+  refuse(fingerprints: readonly string[]): void;
+}
--- a/packages/ownership/src/common/entryVmControl.ts
+++ b/packages/ownership/src/common/entryVmControl.ts
@@ -1,6 +1,5 @@
 import { DisposableBase, DisposableStore } from '@hickoryhoist/base/common/disposable.js';
-import { Emitter, type Event } from '@hickoryhoist/base/common/emitter.js';
-import { repeat } from '@hickoryhoist/base/common/asynchronous.js';
+import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { type KeyHasher, rendezvousScore } from '@hickoryhoist/base/common/keyHash.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
@@ -12,7 +11,6 @@
 import type {
   ConfirmLostReply,
   ConfirmLostRequest,
-  CrashSuspect,
   FetchStateReply,
   FollowerReport,
   LoadReport,
@@ -24,6 +22,7 @@
 import { AssignmentPlanner } from './assignmentPlanner.js';
 import { AssignmentStore } from './assignmentStore.js';
 import { ConfigurationKeeper, type ReadUrgency } from './configurationKeeper.js';
+import type { CrashExchange } from './crashExchange.js';
 import { GroupControl } from './groupControl.js';
 import { LeaseRenewer } from './leaseRenewer.js';
 import { balanceOptionsFor } from './balanceWeights.js';
@@ -35,6 +34,7 @@
 import type { Member, WantedServer } from './observations.js';
 import { OwnershipHolder } from './ownershipHolder.js';
 import type { FollowerConnection, FollowerListener, PeerClient, PeerHandler } from './peerClient.js';
+import { PeerContact } from './peerContact.js';
 import { PlatformWatcher } from './platformWatcher.js';
 import { RouteLeases } from './routeLeases.js';
 import type { ServerClient } from './serverClient.js';
@@ -44,12 +44,6 @@
 export const ENTRY_VM_GROUP = 'entry-vms';
 
 const ENTRY_VM_SLICE_COUNT = 256;
-const BOOTSTRAP_PAUSE_MILLISECONDS = 500;
-/** Time without contact to another process after which peers are asked for state. */
-const PEER_CONTACT_MILLISECONDS = 3_000;
-/** Time without any contact after which this process must not act on its configuration any more. */
-const ISOLATION_MILLISECONDS = 8_000;
-
 /** What the control of an entry VM needs from its surroundings. */
 export interface EntryVmControlOptions {
   readonly self: EntryVm;
@@ -66,14 +60,6 @@
   readonly crashes: CrashExchange;
 }
 
-/** Exchange with the gateway about requests that crash servers. */
-export interface CrashExchange {
-  readonly onDidRecordLoss: Event<void>;
-  report(): readonly CrashSuspect[];
-  findRefused(suspects: readonly (readonly CrashSuspect[])[]): readonly string[];
-  refuse(fingerprints: readonly string[]): void;
-}
-
 /** All control tasks of one entry VM. */
 export class EntryVmControl extends DisposableBase implements PeerHandler {
   readonly #options: EntryVmControlOptions;
@@ -81,8 +67,7 @@
   readonly #groupStore = this.register(new DisposableStore());
   readonly #watcher: PlatformWatcher;
   readonly #onDidChangeAssignment = this.register(new Emitter<Assignment>());
-  readonly #startedAt = performance.now();
-  #lastPeerContactAt = Number.NEGATIVE_INFINITY;
+  readonly #peerContact: PeerContact;
   #isLeaving = false;
 
   readonly configuration: ConfigurationKeeper;
@@ -118,12 +103,18 @@
       }),
     );
     this.#addGroup(ENTRY_VM_GROUP, ENTRY_VM_SLICE_COUNT, wantedEntryVms);
+    this.#peerContact = this.register(
+      new PeerContact({
+        peers: options.peers,
+        hearsOthers: () => this.#hearsOthers(),
+        hearsAllAssigners: () => this.groups.every(({ follower }) => follower.hearsAssigner),
+        chooseAddress: () => this.#seedAddress(),
+      }),
+    );
     this.register(
-      repeat(
-        () => BOOTSTRAP_PAUSE_MILLISECONDS,
-        () => this.#bootstrap(),
-        () => undefined,
-      ),
+      this.#peerContact.onDidReceiveState((state) => {
+        this.#takeOver(state);
+      }),
     );
   }
 
@@ -140,12 +131,7 @@
    * configuration may be in force everywhere else.
    */
   get isIsolated(): boolean {
-    const lastContactAt = Math.max(
-      this.#startedAt,
-      this.#lastPeerContactAt,
-      this.configuration.lastContactAt,
-    );
-    return this.#knowsOthers() && performance.now() - lastContactAt > ISOLATION_MILLISECONDS;
+    return this.#knowsOthers() && this.#peerContact.isIsolated(this.configuration.lastContactAt);
   }
 
   assignment(group: string): Assignment | undefined {
@@ -318,23 +304,12 @@
     return others.filter(({ address }) => rendezvousScore(hasher, group, address) > ownScore).length;
   }
 
-  /** Asks peers for state while an assigner is not heard, or while this process hears only itself. */
-  async #bootstrap(): Promise<void> {
-    const { controlAddress } = this.#options.self;
+  #hearsOthers(): boolean {
     const heard = this.groups.filter(({ follower }) => follower.hearsAssigner);
-    if (heard.some(({ follower }) => follower.assignerAddress !== controlAddress)) {
-      this.#lastPeerContactAt = performance.now();
-    }
-    const isUncertain = performance.now() - this.#lastPeerContactAt > PEER_CONTACT_MILLISECONDS;
-    if (heard.length === this.#groups.size && !isUncertain) {
-      return;
-    }
-    const address = this.#seedAddress();
-    if (address === undefined) {
-      return;
-    }
-    const state = await this.#options.peers.fetchState(address);
-    this.#lastPeerContactAt = performance.now();
+    return heard.some(({ follower }) => follower.assignerAddress !== this.#options.self.controlAddress);
+  }
+
+  #takeOver(state: FetchStateReply): void {
     if (state.configuration !== undefined) {
       this.configuration.offerSerialized(state.configuration.revision, state.configuration.snapshot);
     }
--- a/packages/ownership/src/common/test/soleOwnership.test.ts
+++ b/packages/ownership/src/common/test/soleOwnership.test.ts
@@ -247,6 +247,29 @@
         assert.not(run.oracle.keyHashes.some((keyHash) => run.oracle.ownersOf(keyHash).includes(address)));
       }));
 
+    it('gives no route to an entry VM that comes back with an older assignment', () =>
+      runRegion(unchecked, async (run) => {
+        const { region } = run;
+        const stale = region.entryVmIds.find((id) => id !== assignerId(run)) ?? '';
+        const others = region.entryVmIds.filter((id) => id !== stale);
+        [...others, PLATFORM].forEach((end) => {
+          region.network.cut(stale, end);
+        });
+        const records = region.entryVms.get(stale)?.assignment(SERVICE)?.servers ?? [];
+        const steady = records.find(({ renewers }) => renewers.every(({ id }) => id !== stale));
+        const address = steady?.address ?? '';
+        await run.advance(2_500);
+        await new DrainStore(region.platform.memory.table).set(address, true);
+        await run.advance(4_000);
+        others
+          .filter((id) => id !== assignerId(run))
+          .forEach((id) => {
+            region.network.mend(stale, id);
+          });
+        await run.advance(4_000);
+        assert.is(unownedKeys(run), 0);
+      }));
+
     it('moves the keys of a lost server past an entry VM that knows only the older assignment', () =>
       runRegion(unchecked, async (run) => {
         const stale = run.region.entryVmIds.find((id) => id !== assignerId(run)) ?? '';
