Count a slow server's speed once when work is balanced

Cause, found by reading: gateways reported busy time as each server took it, and the balancer divided it by the server's speed again, so that work at a slow server counted twice as heavy as it is. Ruled out: the balance experiment, whose work is stated for mean speed. Change: a gateway states the work of slices and keys as the time that a server of mean speed would take. Conclusion: reported work no longer depends on where it ran.

--- a/packages/gateway/src/common/loadRecorder.ts
+++ b/packages/gateway/src/common/loadRecorder.ts
@@ -4,6 +4,12 @@
 const MAXIMUM_TRACKED_KEYS = 2_048;
 const MAXIMUM_REPORTED_KEYS = 300;
 
+/** Busy time of a slice or key, at the server that ran it last. */
+interface Work {
+  address: string;
+  busyMilliseconds: number;
+}
+
 interface ServerSum {
   requests: number;
   shed: number;
@@ -15,8 +21,8 @@
   readonly #intervalMilliseconds: number;
   #startedAt = performance.now();
   #servers = new Map<string, ServerSum>();
-  #slices = new Map<number, number>();
-  #keys = new Map<KeyHash, number>();
+  #slices = new Map<number, Work>();
+  #keys = new Map<KeyHash, Work>();
 
   constructor(intervalMilliseconds: number) {
     this.#intervalMilliseconds = intervalMilliseconds;
@@ -26,10 +32,9 @@
     const sum = this.#server(address);
     sum.requests += 1;
     sum.busyMilliseconds += busyMilliseconds;
-    const slice = sliceOf(keyHash, sliceCount);
-    this.#slices.set(slice, (this.#slices.get(slice) ?? 0) + busyMilliseconds);
+    addWork(this.#slices, sliceOf(keyHash, sliceCount), address, busyMilliseconds);
     if (this.#keys.has(keyHash) || this.#keys.size < MAXIMUM_TRACKED_KEYS) {
-      this.#keys.set(keyHash, (this.#keys.get(keyHash) ?? 0) + busyMilliseconds);
+      addWork(this.#keys, keyHash, address, busyMilliseconds);
     }
   }
 
@@ -54,8 +59,12 @@
   }
 
   #finish(elapsed: number): LoadReport {
+    const factors = this.#speedFactors();
+    const normalized = ({ address, busyMilliseconds }: Work): number =>
+      Math.round(busyMilliseconds * (factors.get(address) ?? 1));
     const hottest = [...this.#keys]
-      .sort(([, left], [, right]) => right - left)
+      .map(([keyHash, work]) => ({ keyHash, busyMilliseconds: normalized(work) }))
+      .sort((left, right) => right.busyMilliseconds - left.busyMilliseconds)
       .slice(0, MAXIMUM_REPORTED_KEYS);
     const report: LoadReport = {
       intervalMilliseconds: Math.round(elapsed),
@@ -65,8 +74,8 @@
         shed: sum.shed,
         busyMilliseconds: Math.round(sum.busyMilliseconds),
       })),
-      slices: [...this.#slices].map(([slice, busy]) => ({ slice, busyMilliseconds: Math.round(busy) })),
-      keys: hottest.map(([keyHash, busy]) => ({ keyHash, busyMilliseconds: Math.round(busy) })),
+      slices: [...this.#slices].map(([slice, work]) => ({ slice, busyMilliseconds: normalized(work) })),
+      keys: hottest,
     };
     this.#startedAt = performance.now();
     this.#servers = new Map();
@@ -74,4 +83,25 @@
     this.#keys = new Map();
     return report;
   }
+
+  /** Factors that turn busy time at each server into the time that a server of mean speed would take. */
+  #speedFactors(): ReadonlyMap<string, number> {
+    const sums = [...this.#servers].filter(
+      ([, { requests, busyMilliseconds }]) => requests > 0 && busyMilliseconds > 0,
+    );
+    const requests = sums.reduce((total, [, sum]) => total + sum.requests, 0);
+    const busy = sums.reduce((total, [, sum]) => total + sum.busyMilliseconds, 0);
+    const mean = busy / Math.max(1, requests);
+    return new Map(sums.map(([address, sum]) => [address, (mean * sum.requests) / sum.busyMilliseconds]));
+  }
+}
+
+function addWork<Name>(works: Map<Name, Work>, name: Name, address: string, busyMilliseconds: number): void {
+  const work = works.get(name);
+  if (work === undefined) {
+    works.set(name, { address, busyMilliseconds });
+    return;
+  }
+  work.address = address;
+  work.busyMilliseconds += busyMilliseconds;
 }
