Split hedging and headers from the request path, hash only under suspicion

Ruled out: a change of outcomes: a quiet guard refuses and clears nothing. Change: hedging and forwarded headers have files of their own; fingerprints are computed only while some request is suspected or refused. The saving was not measured.

--- a/packages/gateway/src/common/crashGuard.ts
+++ b/packages/gateway/src/common/crashGuard.ts
@@ -33,6 +33,11 @@
   /** Fires when a request was in flight at a lost server, so that other entry VMs can be told at once. */
   readonly onDidRecordLoss = this.#onDidRecordLoss.event;
 
+  /** Whether no request is suspected or refused, so that fingerprints need not be computed. */
+  get isQuiet(): boolean {
+    return this.#suspects.size === 0 && this.#refusedElsewhere.size === 0;
+  }
+
   isSuspect(fingerprint: RequestFingerprint): boolean {
     return this.#suspects.has(fingerprint);
   }
--- a/packages/gateway/src/common/requestExecutor.ts
+++ b/packages/gateway/src/common/requestExecutor.ts
@@ -4,7 +4,9 @@
 import { findServer, ownerOfUnit, unitName, unitOfKey } from '@hickoryhoist/protocol/common/assignment.js';
 import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
 import { type CrashGuard, fingerprintOf } from './crashGuard.js';
+import { forwardedHeaders } from './forwardedHeaders.js';
 import { type GatewayRequest, remainingMilliseconds } from './gatewayRequest.js';
+import { firstUseful, isPendingAfter } from './hedging.js';
 import type { RoutingState } from './knownServers.js';
 import { notRunForNow, type Outcome } from './outcome.js';
 import { RetryBudget } from './retryBudget.js';
@@ -122,6 +124,9 @@
 
   /** A suspect waits until what other entry VMs know of it should have arrived. */
   async #crashesServers(request: GatewayRequest): Promise<boolean> {
+    if (this.#crashGuard.isQuiet) {
+      return false;
+    }
     const fingerprint = fingerprintOf(request);
     if (this.#crashGuard.isSuspect(fingerprint)) {
       await delay(Math.min(SUSPECT_WAIT_MILLISECONDS, Math.max(1, remainingMilliseconds(request))));
@@ -172,7 +177,9 @@
 
   #recordForCrashes(request: GatewayRequest, attempt: AttemptResult): void {
     if (attempt.kind === 'answered') {
-      this.#crashGuard.recordAnswer(fingerprintOf(request));
+      if (!this.#crashGuard.isQuiet) {
+        this.#crashGuard.recordAnswer(fingerprintOf(request));
+      }
     } else if (attempt.kind === 'lost' && attempt.cause === 'connection-lost' && !request.signal.aborted) {
       this.#crashGuard.recordLoss(fingerprintOf(request));
     }
@@ -311,29 +318,6 @@
   }
 }
 
-const connectionHeaders: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'transfer-encoding',
-  'te',
-  'trailer',
-  'upgrade',
-  'host',
-  'content-length',
-  'expect',
-]);
-
-function forwardedHeaders(request: GatewayRequest): Record<string, string | string[]> {
-  const headers: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(request.headers)) {
-    if (!connectionHeaders.has(name) && !name.startsWith('hickoryhoist-')) {
-      headers[name] = typeof value === 'string' ? value : [...value];
-    }
-  }
-  return headers;
-}
-
 async function pause(request: GatewayRequest): Promise<void> {
   await delay(Math.min(RETRY_PAUSE_MILLISECONDS, Math.max(1, remainingMilliseconds(request))));
 }
@@ -342,30 +326,3 @@
 function withDoubts(outcome: Outcome, doubts: readonly UnknownOutcome[]): Outcome {
   return outcome.kind === 'not-run' ? (doubts.at(-1) ?? outcome) : outcome;
 }
-
-/** Whether an attempt is still without result after a time. */
-async function isPendingAfter(attempt: Promise<AttemptResult>, milliseconds: number): Promise<boolean> {
-  let timer: NodeJS.Timeout | undefined;
-  const limit = new Promise<true>((resolve) => {
-    timer = setTimeout(() => {
-      resolve(true);
-    }, milliseconds);
-  });
-  const isPending = await Promise.race([attempt.then(() => false), limit]);
-  clearTimeout(timer);
-  return isPending;
-}
-
-/** The first of two attempts that was answered or refused; the first attempt when neither was. */
-async function firstUseful(
-  first: Promise<AttemptResult>,
-  second: Promise<AttemptResult>,
-): Promise<AttemptResult> {
-  const isUseful = ({ kind }: AttemptResult): boolean => kind === 'answered' || kind === 'refused';
-  const earlier = await Promise.race([first, second]);
-  if (isUseful(earlier)) {
-    return earlier;
-  }
-  const both = await Promise.all([first, second]);
-  return both.find(isUseful) ?? both[0];
-}
