--- a/packages/gateway/src/common/homeGateway.ts
+++ b/packages/gateway/src/common/homeGateway.ts
@@ -12,7 +12,7 @@
 import { type GatewayRequest, remainingMilliseconds } from './gatewayRequest.js';
 import type { IdempotencyLedger } from './idempotencyLedger.js';
 import type { RoutingState } from './knownServers.js';
-import { type AnswerHeaders, type Outcome, type NotRunReason, type UnknownReason } from './outcome.js';
+import { headerText, type Outcome, type NotRunReason, type UnknownReason } from './outcome.js';
 import type { RequestExecutor } from './requestExecutor.js';
 import type { AttemptResult, ServerTransport } from './serverTransport.js';
 
@@ -120,10 +120,10 @@
     return undefined;
   }
   const { status, headers, body } = attempt;
-  const reason = textOf(headers, headerNames.reason);
-  switch (textOf(headers, headerNames.outcome)) {
+  const reason = headerText(headers, headerNames.reason);
+  switch (headerText(headers, headerNames.outcome)) {
     case 'not-run': {
-      const retryAfter = textOf(headers, 'retry-after');
+      const retryAfter = headerText(headers, 'retry-after');
       const outcome = { kind: 'not-run', reason: reason as NotRunReason } as const;
       return retryAfter === undefined ? outcome : { ...outcome, retryAfterSeconds: Number(retryAfter) };
     }
@@ -133,8 +133,3 @@
       return { kind: 'answered', status, headers, body };
   }
 }
-
-function textOf(headers: AnswerHeaders, name: string): string | undefined {
-  const value = headers[name];
-  return typeof value === 'string' ? value : value?.[0];
-}
--- a/packages/gateway/src/common/requestExecutor.ts
+++ b/packages/gateway/src/common/requestExecutor.ts
@@ -1,7 +1,7 @@
 import { delay } from '@hickoryhoist/base/common/asynchronous.js';
 import { type KeyHash, type KeyHasher } from '@hickoryhoist/base/common/keyHash.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
-import { findServer, ownerOfUnit, unitName, unitOfKey } from '@hickoryhoist/protocol/common/assignment.js';
+import { findServer, isReleasing, ownerOfUnit, unitOfKey } from '@hickoryhoist/protocol/common/assignment.js';
 import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
 import { type CrashGuard, fingerprintOf } from './crashGuard.js';
 import { forwardedHeaders } from './forwardedHeaders.js';
@@ -259,11 +259,10 @@
     const keyHash = this.#hasher.hash(key);
     const unit = unitOfKey(assignment, keyHash);
     const server = findServer(assignment, ownerOfUnit(assignment, unit));
-    const isReleasing = assignment.releases.some((release) => unitName(release.unit) === unitName(unit));
     if (
       server === undefined ||
       server.phase === 'lost' ||
-      isReleasing ||
+      isReleasing(assignment, unit) ||
       !this.#routing.mayRoute(group, server)
     ) {
       return undefined;
--- a/packages/gateway/src/common/serviceMatcher.ts
+++ b/packages/gateway/src/common/serviceMatcher.ts
@@ -1,6 +1,6 @@
 import type { ConfigurationSnapshot } from '@hickoryhoist/configuration/common/configurationSnapshot.js';
 import type { ServiceFile } from '@hickoryhoist/configuration/common/serviceFile.js';
-import type { AnswerHeaders } from './outcome.js';
+import { type AnswerHeaders, headerText } from './outcome.js';
 
 /** Finds the service with the longest matching path prefix. */
 export function matchService(snapshot: ConfigurationSnapshot, path: string): ServiceFile | undefined {
@@ -34,8 +34,7 @@
     case 'query':
       return url.searchParams.get(source.name) ?? undefined;
     case 'header': {
-      const value = headers[source.name.toLowerCase()];
-      return typeof value === 'string' ? value : value?.[0];
+      return headerText(headers, source.name.toLowerCase());
     }
   }
 }
--- a/packages/gateway/src/node/requestReader.ts
+++ b/packages/gateway/src/node/requestReader.ts
@@ -4,7 +4,7 @@
 import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
 import type { GatewayRequest } from '../common/gatewayRequest.js';
 import { MAXIMUM_IDEMPOTENCY_KEY_LENGTH } from '../common/idempotencyKey.js';
-import { type AnswerHeaders, notRunForNow, type Outcome } from '../common/outcome.js';
+import { type AnswerHeaders, headerText, notRunForNow, type Outcome } from '../common/outcome.js';
 import { extractKey, matchService } from '../common/serviceMatcher.js';
 
 /** Result of reading a request: the request, the outcome that ends it early, or nothing when the caller left. */
@@ -20,7 +20,7 @@
   signal: AbortSignal,
 ): Promise<ReadResult> {
   const headers = definedHeaders(message);
-  const id = textOf(headers, headerNames.requestId) ?? randomUUID();
+  const id = headerText(headers, headerNames.requestId) ?? randomUUID();
   const refuse = (outcome: Outcome): ReadResult => ({ kind: 'refused', requestId: id, outcome });
   if (configuration === undefined) {
     return refuse(notRunForNow('not-ready'));
@@ -38,7 +38,7 @@
   if (service.kind === 'keyed' && key === undefined) {
     return refuse({ kind: 'not-run', reason: 'missing-key' });
   }
-  const idempotencyKey = textOf(headers, headerNames.idempotencyKey);
+  const idempotencyKey = headerText(headers, headerNames.idempotencyKey);
   if (idempotencyKey !== undefined && !isUsable(idempotencyKey)) {
     return refuse({ kind: 'not-run', reason: 'malformed-request' });
   }
@@ -115,7 +115,7 @@
 }
 
 function deadlineOf(headers: AnswerHeaders, limitMilliseconds: number): number | undefined {
-  const text = textOf(headers, headerNames.deadline);
+  const text = headerText(headers, headerNames.deadline);
   if (text === undefined) {
     return limitMilliseconds;
   }
@@ -134,8 +134,3 @@
     ),
   );
 }
-
-function textOf(headers: AnswerHeaders, name: string): string | undefined {
-  const value = headers[name];
-  return typeof value === 'string' ? value : value?.[0];
-}
--- a/packages/ownership/src/common/assigner.ts
+++ b/packages/ownership/src/common/assigner.ts
@@ -139,7 +139,7 @@
         const hadSuspects = session.crashSuspects.length;
         this.#members.record(session, report);
         if (isFirst) {
-          this.#send(session);
+          this.#send(session, this.#messageHeader());
         }
         if (report.crashSuspects.length > 0 || hadSuspects > 0) {
           this.#sendToAll();
@@ -272,20 +272,24 @@
   }
 
   #sendToAll(base?: Assignment): void {
+    const header = this.#messageHeader();
     for (const session of this.#members.allSessions()) {
-      this.#send(session, base);
+      this.#send(session, header, base);
     }
   }
 
-  #send(session: FollowerSession, base?: Assignment): void {
-    const header = {
+  /** The part of a message that is the same for every follower. */
+  #messageHeader(): Omit<AssignerMessage, 'body'> {
+    const suspects = this.#members.liveSessions().map(({ crashSuspects }) => crashSuspects);
+    return {
       term: this.term,
       isStoreReachable: this.#isStoreReachable,
       isRefused: false,
-      refusedFingerprints: this.#options.findRefused(
-        this.#members.liveSessions().map(({ crashSuspects }) => crashSuspects),
-      ),
+      refusedFingerprints: [...this.#options.findRefused(suspects)],
     };
+  }
+
+  #send(session: FollowerSession, header: Omit<AssignerMessage, 'body'>, base?: Assignment): void {
     const bodies = [this.#configurationBody(session), this.#assignmentBody(session, base)];
     const due = bodies.filter((body) => body !== undefined);
     if (due.length === 0) {
--- a/packages/ownership/src/common/assignmentPlanner.ts
+++ b/packages/ownership/src/common/assignmentPlanner.ts
@@ -3,6 +3,7 @@
   type Assignment,
   type EntryVm,
   NO_OWNER,
+  ownerOfUnit,
   type ServerRecord,
 } from '@hickoryhoist/protocol/common/assignment.js';
 import { AssignmentDraft } from './assignmentDraft.js';
@@ -195,7 +196,7 @@
 function completeReleases(draft: AssignmentDraft, observations: Observations): void {
   const servers = new Map(draft.servers.map((server) => [server.number, server]));
   for (const { unit, successor, sinceRevision } of draft.releases) {
-    const owner = servers.get(ownerOf(draft, unit));
+    const owner = servers.get(ownerOfUnit(draft, unit));
     const target = servers.get(successor);
     const observation = owner === undefined ? undefined : observations.servers.get(owner.address);
     const isDrained =
@@ -210,17 +211,6 @@
   }
 }
 
-function ownerOf(draft: AssignmentDraft, unit: AssignmentDraft['releases'][number]['unit']): number {
-  switch (unit.unit.$case) {
-    case 'slice':
-      return draft.owners[unit.unit.value] ?? 0;
-    case 'pin': {
-      const keyHash = unit.unit.value;
-      return draft.pins.find((pin) => pin.keyHash === keyHash)?.owner ?? 0;
-    }
-  }
-}
-
 function isSameSet(left: readonly EntryVm[], right: readonly EntryVm[]): boolean {
   const names = new Set(right.map(entryVmName));
   return left.length === right.length && left.every((entryVm) => names.has(entryVmName(entryVm)));
--- a/packages/ownership/src/common/safeTransition.ts
+++ b/packages/ownership/src/common/safeTransition.ts
@@ -3,6 +3,7 @@
 import {
   type Assignment,
   findServer,
+  isReleasing,
   NO_OWNER,
   ownerOfUnit,
   type Release,
@@ -100,7 +101,6 @@
 ): boolean {
   const slice: Unit = { unit: { $case: 'slice', value: sliceOf(keyHash, before.owners.length) } };
   const isPinned = after.pins.some((pin) => pin.keyHash === keyHash);
-  const isReleasing = before.releases.some((release) => unitName(release.unit) === unitName(slice));
   const owners = [ownerOfUnit(before, slice), ownerOfUnit(after, slice)];
-  return !isPinned && !isReleasing && owners.every((number) => number === owner?.number);
+  return !isPinned && !isReleasing(before, slice) && owners.every((number) => number === owner?.number);
 }
--- a/packages/protocol/src/common/assignment.ts
+++ b/packages/protocol/src/common/assignment.ts
@@ -106,8 +106,14 @@
   return { unit: { $case: 'slice', value: sliceOf(keyHash, assignment.owners.length) } };
 }
 
+/** Whether a unit is being handed over. */
+export function isReleasing(assignment: Assignment, unit: Unit): boolean {
+  const name = unitName(unit);
+  return assignment.releases.some((release) => unitName(release.unit) === name);
+}
+
 /** Number of the server that owns a unit, or `NO_OWNER`. */
-export function ownerOfUnit(assignment: Assignment, unit: Unit): number {
+export function ownerOfUnit(assignment: Pick<Assignment, 'owners' | 'pins'>, unit: Unit): number {
   switch (unit.unit.$case) {
     case 'slice':
       return assignment.owners[unit.unit.value] ?? NO_OWNER;
