Split the slots of servers by role, and encode a message to all once

The file of the coordinated slots held three concerns: who coordinates, what the coordinator hands out, and what this entry VM asks for. Each has a class of its own now. The loop that sends one message to all others stood three times and encoded the message once for each of them; DatagramPeers.sendToAll encodes it once.

No change of behaviour is meant.

--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -1,14 +1,11 @@
-import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { SlotUse } from '@hickoryhoist/dispatch/common/serverLoad.js';
-import {
-  type SchedulableServer,
-  type SlotDecision,
-  SlotScheduler,
-} from '@hickoryhoist/dispatch/common/slotScheduler.js';
+import type { SchedulableServer } from '@hickoryhoist/dispatch/common/slotScheduler.js';
 import type { Slot, SlotResult, SlotSource, SlotWish } from '@hickoryhoist/dispatch/common/slotSource.js';
-import type { AskMessage, PeerMessage } from './peerMessage.js';
-import { rankByRendezvous } from './rendezvous.js';
+import { CoordinatorChoice, type CoordinatorVm, type PassOverReason } from './coordinatorChoice.js';
+import type { PeerMessage } from './peerMessage.js';
+import { type OwnDecision, SlotCoordinator } from './slotCoordinator.js';
 
 /** Time for the first answer of a coordinator, in milliseconds; a round trip takes 1 to 3 ms. */
 const ANSWER_MILLISECONDS = 40;
@@ -16,21 +13,8 @@
 const ASKS_PER_COORDINATOR = 2;
 /** Time between questions whether an ask still waits, in milliseconds. */
 const WAITING_MILLISECONDS = 250;
-/** Time for which a silent coordinator is passed over, in milliseconds. */
-const SUSPICION_MILLISECONDS = 1_500;
 /** Coordinators asked before this entry VM decides alone. */
 const MOST_COORDINATORS = 2;
-const TICK_MILLISECONDS = 50;
-/** Time after its deadline at which an ask whose end was not reported is forgotten, in milliseconds. */
-const FORGET_MILLISECONDS = 1_000;
-
-/** An entry VM that may coordinate servers. */
-export interface CoordinatorVm {
-  readonly id: string;
-  readonly ipAddress: string;
-  /** Its processor in cores: its share of the servers that are coordinated. */
-  readonly processorCores: number;
-}
 
 /** Surroundings of the coordinated slots. */
 export interface CoordinatedSlotsOptions {
@@ -44,14 +28,6 @@
   readonly logger: Logger;
 }
 
-/** An ask of another entry VM that waits here or was granted. */
-interface RemoteAsk {
-  readonly ipAddress: string;
-  readonly service: string;
-  readonly forgetAt: number;
-  granted?: string;
-}
-
 interface PendingAsk {
   readonly id: string;
   readonly service: string;
@@ -71,54 +47,41 @@
  */
 export class CoordinatedSlots extends DisposableBase implements SlotSource {
   readonly #options: CoordinatedSlotsOptions;
-  readonly #schedulers = new Map<string, SlotScheduler>();
+  readonly #coordinator: SlotCoordinator;
+  readonly #choice: CoordinatorChoice;
   readonly #pending = new Map<string, PendingAsk>();
-  /** Addresses of entry VMs by the asks that they have made here. */
-  readonly #remoteAsks = new Map<string, RemoteAsk>();
-  readonly #suspectedUntil = new Map<string, number>();
-  readonly #ranked = new Map<string, readonly CoordinatorVm[]>();
-  #rankedOf: readonly CoordinatorVm[] = [];
   #nextId = 1;
-  #isLeaving = false;
 
   constructor(options: CoordinatedSlotsOptions) {
     super();
     this.#options = options;
-    const timer = setInterval(() => {
-      for (const [service, scheduler] of this.#schedulers) {
-        this.#deliver(service, scheduler.tick(performance.now()));
-      }
-      this.#forgetOldAsks();
-    }, TICK_MILLISECONDS);
+    this.#coordinator = this.register(new SlotCoordinator(options.send));
+    this.#choice = new CoordinatorChoice(options.self, options.entryVms, options.logger);
     this.register(
-      toDisposable(() => {
-        clearInterval(timer);
+      this.#coordinator.onDidDecide((own) => {
+        this.#takeDecision(own);
       }),
     );
   }
 
   /** Requests that wait here for a slot, own and others'. */
   get waiting(): number {
-    return [...this.#schedulers.values()].reduce((sum, { waiting }) => sum + waiting, 0);
+    return this.#coordinator.waiting;
   }
 
   setServers(service: string, servers: readonly SchedulableServer[]): void {
-    this.#deliver(service, this.#scheduler(service).setServers(servers, performance.now()));
+    this.#coordinator.setServers(service, servers);
   }
 
   /** Time that a request takes, for the servers that are coordinated here. */
   serverMilliseconds(): Readonly<Record<string, number>> {
-    const times: Record<string, number> = {};
-    for (const scheduler of this.#schedulers.values()) {
-      Object.assign(times, scheduler.learnedMilliseconds(performance.now()));
-    }
-    return times;
+    return this.#coordinator.serverMilliseconds();
   }
 
   /** Refuses to coordinate from now on. */
   leave(): void {
-    this.#isLeaving = true;
-    this.#ranked.clear();
+    this.#coordinator.leave();
+    this.#choice.leave();
   }
 
   acquire(service: string, wish: SlotWish, signal: AbortSignal): Promise<SlotResult> {
@@ -163,16 +126,11 @@
   receive(ipAddress: string, message: PeerMessage): boolean {
     switch (message.type) {
       case 'ask':
-        this.#receiveAsk(ipAddress, message);
+        this.#coordinator.receiveAsk(ipAddress, message);
         return true;
-      case 'finish': {
-        const service = this.#remoteAsks.get(message.id)?.service;
-        if (service !== undefined) {
-          this.#remoteAsks.delete(message.id);
-          this.#deliver(service, this.#scheduler(service).finish(message.id, message.use, performance.now()));
-        }
+      case 'finish':
+        this.#coordinator.receiveFinish(message.id, message.use);
         return true;
-      }
       case 'waiting': {
         const pending = this.#pending.get(message.id);
         if (pending !== undefined) {
@@ -196,61 +154,6 @@
     }
   }
 
-  #forgetOldAsks(): void {
-    const now = performance.now();
-    for (const [id, { forgetAt }] of this.#remoteAsks) {
-      if (now > forgetAt) {
-        this.#remoteAsks.delete(id);
-      }
-    }
-  }
-
-  #receiveAsk(ipAddress: string, ask: AskMessage): void {
-    const known = this.#remoteAsks.get(ask.id);
-    if (known !== undefined) {
-      this.#options.send(
-        ipAddress,
-        known.granted === undefined
-          ? { type: 'waiting', id: ask.id }
-          : { type: 'granted', id: ask.id, serverId: known.granted },
-      );
-      return;
-    }
-    if (this.#isLeaving) {
-      this.#options.send(ipAddress, {
-        type: 'refused',
-        id: ask.id,
-        refusal: 'not-coordinating',
-        retryAfter: 0,
-      });
-      return;
-    }
-    const now = performance.now();
-    this.#remoteAsks.set(ask.id, {
-      ipAddress,
-      service: ask.service,
-      forgetAt: now + ask.deadlineIn + FORGET_MILLISECONDS,
-    });
-    const { id, serverId, excludedIds, availabilityZone, rank, bodyBytes } = ask;
-    const decisions = this.#scheduler(ask.service).ask(
-      {
-        id,
-        serverId,
-        excludedIds,
-        availabilityZone,
-        rank,
-        bodyBytes,
-        goalAt: now + ask.goalIn,
-        deadlineAt: now + ask.deadlineIn,
-      },
-      now,
-    );
-    this.#deliver(ask.service, decisions);
-    if (!decisions.some(({ askId }) => askId === id)) {
-      this.#options.send(ipAddress, { type: 'waiting', id });
-    }
-  }
-
   #receiveGrant(ipAddress: string, id: string, serverId: string): void {
     const pending = this.#pending.get(id);
     if (pending?.coordinator.ipAddress !== ipAddress) {
@@ -279,70 +182,39 @@
     });
   }
 
-  /** Tells askers, here or elsewhere, what was decided. */
-  #deliver(service: string, decisions: readonly SlotDecision[]): void {
-    for (const decision of decisions) {
-      const remote = this.#remoteAsks.get(decision.askId);
-      if (remote !== undefined) {
-        this.#deliverRemote(remote, decision);
-        continue;
-      }
-      const pending = this.#pending.get(decision.askId);
-      if (pending === undefined) {
-        if (decision.kind === 'granted') {
-          this.#deliver(
-            service,
-            this.#scheduler(service).finish(decision.askId, 'cancelled', performance.now()),
-          );
-        }
-        continue;
-      }
-      this.#settle(
-        pending,
-        decision.kind === 'granted'
-          ? { kind: 'granted', slot: this.#slot(pending, decision.serverId) }
-          : { ...decision, coordinatorId: pending.coordinator.id },
-      );
-    }
-  }
-
-  #deliverRemote(remote: RemoteAsk, decision: SlotDecision): void {
+  /** Takes what this entry VM has decided, as a coordinator, on an ask of its own. */
+  #takeDecision({ service, decision }: OwnDecision): void {
+    const pending = this.#pending.get(decision.askId);
     switch (decision.kind) {
       case 'granted':
-        remote.granted = decision.serverId;
-        this.#options.send(remote.ipAddress, {
-          type: 'granted',
-          id: decision.askId,
-          serverId: decision.serverId,
-        });
+        if (pending === undefined) {
+          this.#coordinator.finish(service, decision.askId, 'cancelled');
+        } else {
+          this.#settle(pending, { kind: 'granted', slot: this.#slot(pending, decision.serverId) });
+        }
         return;
       case 'refused':
-        this.#remoteAsks.delete(decision.askId);
-        this.#options.send(remote.ipAddress, {
-          type: 'refused',
-          id: decision.askId,
-          refusal: decision.refusal,
-          retryAfter: Math.round(decision.retryAfterMilliseconds),
-          basis: decision.basis,
-        });
+        if (pending !== undefined) {
+          this.#settle(pending, { ...decision, coordinatorId: pending.coordinator.id });
+        }
     }
   }
 
   #ask(pending: PendingAsk): void {
     const { self, send } = this.#options;
+    const { service, wish, id } = pending;
     if (pending.coordinator.id === self.id) {
-      const { service, wish, id } = pending;
-      this.#deliver(service, this.#scheduler(service).ask({ ...wish, id }, performance.now()));
+      this.#coordinator.ask(service, { ...wish, id });
       return;
     }
     pending.asked += 1;
-    const { goalAt, deadlineAt, serverId, ...rest } = pending.wish;
+    const { goalAt, deadlineAt, serverId, ...rest } = wish;
     const now = performance.now();
     send(pending.coordinator.ipAddress, {
       ...rest,
       type: 'ask',
-      id: pending.id,
-      service: pending.service,
+      id,
+      service,
       ...(serverId === undefined ? {} : { serverId }),
       excludedIds: [...rest.excludedIds],
       goalIn: Math.round(goalAt - now),
@@ -363,12 +235,9 @@
   }
 
   /** Turns to the next coordinator. */
-  #passOver(pending: PendingAsk, reason: 'silent' | 'leaving'): void {
+  #passOver(pending: PendingAsk, reason: PassOverReason): void {
     const { id, ipAddress } = pending.coordinator;
-    if ((this.#suspectedUntil.get(id) ?? 0) < performance.now()) {
-      this.#options.logger.log('info', 'coordinator-passed-over', { coordinator: id, reason });
-    }
-    this.#suspectedUntil.set(id, performance.now() + SUSPICION_MILLISECONDS);
+    this.#choice.passOver(id, reason);
     this.#options.send(ipAddress, { type: 'finish', id: pending.id, use: 'cancelled' });
     clearTimeout(pending.timer);
     pending.asked = 0;
@@ -379,31 +248,7 @@
   }
 
   #chooseCoordinator({ service, wish }: PendingAsk): CoordinatorVm {
-    const now = performance.now();
-    const ranked = this.#rankedFor(`${service} ${wish.serverId ?? ''}`);
-    return ranked.find(({ id }) => (this.#suspectedUntil.get(id) ?? 0) <= now) ?? this.#options.self;
-  }
-
-  /** Entry VMs in order of preference for a subject, kept until the set of entry VMs changes. */
-  #rankedFor(subject: string): readonly CoordinatorVm[] {
-    const { self, entryVms } = this.#options;
-    const current = entryVms();
-    if (current !== this.#rankedOf) {
-      this.#rankedOf = current;
-      this.#ranked.clear();
-    }
-    const known = this.#ranked.get(subject);
-    if (known !== undefined) {
-      return known;
-    }
-    const byId = new Map(current.map((entryVm) => [entryVm.id, entryVm]));
-    if (!this.#isLeaving) {
-      byId.set(self.id, self);
-    }
-    const candidates = [...byId.values()].map(({ id, processorCores }) => ({ id, weight: processorCores }));
-    const ranked = rankByRendezvous(subject, candidates).flatMap((id) => byId.get(id) ?? []);
-    this.#ranked.set(subject, ranked);
-    return ranked;
+    return this.#choice.choose(`${service} ${wish.serverId ?? ''}`);
   }
 
   #slot(pending: PendingAsk, serverId: string): Slot {
@@ -419,7 +264,7 @@
   #finish({ coordinator, id, service }: PendingAsk, use: SlotUse): void {
     const { self, sendTwice } = this.#options;
     if (coordinator.id === self.id) {
-      this.#deliver(service, this.#scheduler(service).finish(id, use, performance.now()));
+      this.#coordinator.finish(service, id, use);
       return;
     }
     // A slot whose end is not reported stays taken until the request's deadline.
@@ -432,14 +277,4 @@
     this.#pending.delete(pending.id);
     pending.resolve(result);
   }
-
-  #scheduler(service: string): SlotScheduler {
-    const known = this.#schedulers.get(service);
-    if (known !== undefined) {
-      return known;
-    }
-    const scheduler = new SlotScheduler();
-    this.#schedulers.set(service, scheduler);
-    return scheduler;
-  }
 }
--- a/packages/entryVm/src/common/entryVmRoster.ts
+++ b/packages/entryVm/src/common/entryVmRoster.ts
@@ -43,6 +43,7 @@
   #ownRow: RosterEntry | undefined;
   #addresses: ReadonlyMap<string, string> = new Map();
   #entries: readonly RosterEntry[];
+  #otherAddresses: readonly string[] = [];
 
   constructor(self: RosterEntry, store: RowStore, rows: RosterRows, logger: Logger) {
     this.#self = self;
@@ -57,6 +58,11 @@
     return this.#entries;
   }
 
+  /** Addresses of all entry VMs but this one. */
+  otherAddresses(): readonly string[] {
+    return this.#otherAddresses;
+  }
+
   /** Takes over the rows of the table. Called after each change. */
   update(): void {
     const entries = [...this.#rows.rows.values()].flatMap((row) => this.#read(row));
@@ -65,6 +71,7 @@
     this.#entries = [...others, ...(this.#isLeaving ? [] : [this.#self])].sort((left, right) =>
       left.id.localeCompare(right.id),
     );
+    this.#otherAddresses = others.map(({ ipAddress }) => ipAddress);
     this.#addresses = new Map(this.#entries.map(({ id, ipAddress }) => [id, ipAddress]));
   }
 
--- a/packages/entryVm/src/common/keyControl.ts
+++ b/packages/entryVm/src/common/keyControl.ts
@@ -61,6 +61,7 @@
   readonly services: () => ReadonlyMap<string, RoutedService>;
   readonly serverMilliseconds: () => Readonly<Record<string, number>>;
   readonly send: (ipAddress: string, message: PeerMessage) => void;
+  readonly sendToOthers: (message: PeerMessage) => void;
   readonly logger: Logger;
 }
 
@@ -129,7 +130,7 @@
       mustRead: () => this.isAssigner,
       storeSilence: () => health.silenceMilliseconds(),
       isPassedOn: (table, key) => table !== CONTROL_TABLE || !isAssignmentKey(key),
-      send: options.send,
+      sendToOthers: options.sendToOthers,
     });
   }
 
@@ -323,14 +324,8 @@
   }
 
   #tellChange(service: string, change: KeyAssignmentChange, rowVersion: number): void {
-    if (change.added.length > MOST_RANGES_TOLD) {
-      return;
-    }
-    const { self, roster, send } = this.#options;
-    for (const { id, ipAddress } of roster.entryVms()) {
-      if (id !== self.id) {
-        send(ipAddress, { type: 'assignment-change', service, rowVersion, change });
-      }
+    if (change.added.length <= MOST_RANGES_TOLD) {
+      this.#options.sendToOthers({ type: 'assignment-change', service, rowVersion, change });
     }
   }
 
@@ -353,18 +348,22 @@
   }
 
   #sendHeartbeats(term: number, now: number): void {
-    const { self, roster, health, send } = this.#options;
-    const storeSilence = Math.round(health.silenceMilliseconds());
-    const sentAt = this.#election.clockNow();
-    const versions = this.#readers.versions();
-    const assignments = Object.fromEntries(
-      [...this.#assignments].map(([service, { assignment }]) => [service, assignment.revision]),
-    );
-    for (const { id, ipAddress } of roster.entryVms()) {
+    const { self, roster, health, sendToOthers } = this.#options;
+    sendToOthers({
+      type: 'heartbeat',
+      term,
+      id: self.id,
+      storeSilence: Math.round(health.silenceMilliseconds()),
+      versions: this.#readers.versions(),
+      assignments: Object.fromEntries(
+        [...this.#assignments].map(([service, { assignment }]) => [service, assignment.revision]),
+      ),
+      sentAt: this.#election.clockNow(),
+    });
+    for (const { id } of roster.entryVms()) {
       if (id === self.id) {
         continue;
       }
-      send(ipAddress, { type: 'heartbeat', term, id: self.id, storeSilence, versions, assignments, sentAt });
       const since = Math.max(roster.heardAt(id), this.#firstHeardAt.get(id) ?? now);
       this.#firstHeardAt.set(id, this.#firstHeardAt.get(id) ?? now);
       if (now - since > GONE_MILLISECONDS && health.isReachable) {
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -104,8 +104,19 @@
 /** What one datagram carries. */
 export type PeerDatagram = z.output<typeof datagramSchema>;
 
-export function encodeDatagram(datagram: PeerDatagram): Buffer {
-  return Buffer.from(JSON.stringify(datagram), 'utf8');
+/** Encodes a message by itself, so that one that goes to many entry VMs is encoded once. */
+export function encodeMessage(message: PeerMessage): string {
+  return JSON.stringify(message);
+}
+
+/** Puts encoded messages together to a datagram. */
+export function encodeDatagram(
+  from: string,
+  incarnation: string,
+  encodedMessages: readonly string[],
+): Buffer {
+  const sender = `"from":${JSON.stringify(from)},"incarnation":${JSON.stringify(incarnation)}`;
+  return Buffer.from(`{${sender},"messages":[${encodedMessages.join(',')}]}`, 'utf8');
 }
 
 /** @returns nothing for bytes that are no datagram of an entry VM. */
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -25,7 +25,7 @@
   readonly storeSilence: () => number;
   /** Whether a row is passed on; others are told of in another way. */
   readonly isPassedOn: (table: string, key: string) => boolean;
-  readonly send: (ipAddress: string, message: PeerMessage) => void;
+  readonly sendToOthers: (message: PeerMessage) => void;
 }
 
 /**
@@ -127,21 +127,21 @@
 
   #sendHeartbeats(): void {
     const storeSilence = Math.round(this.#options.storeSilence());
-    this.#sendToOthers({ type: 'reader-heartbeat', storeSilence, versions: this.versions() });
+    this.#options.sendToOthers({ type: 'reader-heartbeat', storeSilence, versions: this.versions() });
   }
 
   #passOn({ table, after, changes }: FollowedChanges): void {
     if (!this.#isReader) {
       return;
     }
-    const { isPassedOn } = this.#options;
+    const { isPassedOn, sendToOthers } = this.#options;
     const { version, newestChange, deletedKeys } = changes;
     const rows = changes.rows
       .filter(({ key }) => isPassedOn(table, key))
       .map(({ key, value, version: rowVersion }) => ({ key, value, version: rowVersion }));
     const bytes = rows.reduce((sum, { key, value }) => sum + key.length + value.length, 0);
     if (bytes <= LARGEST_CHANGES_BYTES) {
-      this.#sendToOthers({
+      sendToOthers({
         type: 'table-changes',
         table,
         after,
@@ -152,13 +152,4 @@
       });
     }
   }
-
-  #sendToOthers(message: PeerMessage): void {
-    const { entryVms, selfId, send } = this.#options;
-    for (const { id, ipAddress } of entryVms()) {
-      if (id !== selfId) {
-        send(ipAddress, message);
-      }
-    }
-  }
 }
--- a/packages/entryVm/src/common/test/fakes/keyControlRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyControlRig.ts
@@ -107,6 +107,11 @@
         send: (to, message) => {
           this.#send(vm, self.incarnation, to, message);
         },
+        sendToOthers: (message) => {
+          roster.otherAddresses().forEach((to) => {
+            this.#send(vm, self.incarnation, to, message);
+          });
+        },
         logger: logger,
       }),
     );
--- a/packages/entryVm/src/node/datagramPeers.ts
+++ b/packages/entryVm/src/node/datagramPeers.ts
@@ -3,12 +3,7 @@
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
-import {
-  decodeDatagram,
-  encodeDatagram,
-  type PeerDatagram,
-  type PeerMessage,
-} from '../common/peerMessage.js';
+import { decodeDatagram, encodeDatagram, encodeMessage, type PeerMessage } from '../common/peerMessage.js';
 
 /** Messages in one datagram at most, so that it fits into one packet. */
 const MESSAGES_PER_DATAGRAM = 8;
@@ -29,8 +24,9 @@
   readonly #self: { readonly id: string; readonly incarnation: string };
   readonly #port: number;
   readonly #logger: Logger;
-  readonly #waiting = new Map<string, PeerMessage[]>();
-  readonly #copies = new Map<string, PeerMessage[]>();
+  /** Encoded messages by the address that they go to. */
+  readonly #waiting = new Map<string, string[]>();
+  readonly #copies = new Map<string, string[]>();
   readonly #onDidReceive = new Emitter<ReceivedMessage>();
   #isFlushScheduled = false;
 
@@ -66,12 +62,25 @@
   }
 
   send(ipAddress: string, message: PeerMessage): void {
-    const messages = this.#waiting.get(ipAddress);
-    if (messages === undefined) {
-      this.#waiting.set(ipAddress, [message]);
-    } else {
-      messages.push(message);
-    }
+    this.#queue(ipAddress, encodeMessage(message));
+  }
+
+  sendToAll(ipAddresses: readonly string[], message: PeerMessage): void {
+    const encoded = encodeMessage(message);
+    ipAddresses.forEach((ipAddress) => {
+      this.#queue(ipAddress, encoded);
+    });
+  }
+
+  /** Sends a message and, some time later, a copy of it with other messages, in case the first one gets lost. */
+  sendTwice(ipAddress: string, message: PeerMessage): void {
+    const encoded = encodeMessage(message);
+    this.#queue(ipAddress, encoded);
+    append(this.#copies, ipAddress, encoded);
+  }
+
+  #queue(ipAddress: string, encoded: string): void {
+    append(this.#waiting, ipAddress, encoded);
     if (!this.#isFlushScheduled) {
       this.#isFlushScheduled = true;
       setImmediate(() => {
@@ -80,21 +89,10 @@
     }
   }
 
-  /** Sends a message and, some time later, a copy of it with other messages, in case the first one gets lost. */
-  sendTwice(ipAddress: string, message: PeerMessage): void {
-    this.send(ipAddress, message);
-    const copies = this.#copies.get(ipAddress);
-    if (copies === undefined) {
-      this.#copies.set(ipAddress, [message]);
-    } else {
-      copies.push(message);
-    }
-  }
-
   #sendCopies(): void {
     for (const [ipAddress, copies] of this.#copies) {
-      copies.forEach((message) => {
-        this.send(ipAddress, message);
+      copies.forEach((encoded) => {
+        this.#queue(ipAddress, encoded);
       });
     }
     this.#copies.clear();
@@ -110,12 +108,12 @@
     this.#waiting.clear();
   }
 
-  #sendDatagram(ipAddress: string, messages: PeerMessage[]): void {
+  #sendDatagram(ipAddress: string, encodedMessages: readonly string[]): void {
     if (this.isDisposed()) {
       return;
     }
-    const datagram: PeerDatagram = { from: this.#self.id, incarnation: this.#self.incarnation, messages };
-    this.#socket.send(encodeDatagram(datagram), this.#port, ipAddress, (error) => {
+    const datagram = encodeDatagram(this.#self.id, this.#self.incarnation, encodedMessages);
+    this.#socket.send(datagram, this.#port, ipAddress, (error) => {
       if (error !== null) {
         this.#logger.log('debug', 'datagram-not-sent', { to: ipAddress, reason: describeError(error) });
       }
@@ -133,3 +131,12 @@
     }
   }
 }
+
+function append(lists: Map<string, string[]>, key: string, text: string): void {
+  const known = lists.get(key);
+  if (known === undefined) {
+    lists.set(key, [text]);
+  } else {
+    known.push(text);
+  }
+}
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -132,6 +132,9 @@
         send: (ipAddress, message) => {
           this.#peers.send(ipAddress, message);
         },
+        sendToOthers: (message) => {
+          this.#peers.sendToAll(this.#roster.otherAddresses(), message);
+        },
         logger,
       }),
     );
