Bound idle connections to a server, not those with a request

Cause: an entry VM was allowed its share of the connections that a server accepts, which is one with 89 entry VMs.

Ruled out: servers that are down (the attempts took 0 ms), new connections that are too slow (none reached its time limit).

Change: requests in flight are bounded by the slots of the server already; only connections without a request are bounded by the share, which may now be none.

Tests: three requests at a time with one idle connection (two were not written before), and no idle connection where there is no room.

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -27,8 +27,8 @@
   ownerOf(service: string, key: number): string | undefined;
   /** Whether the owner of a key is giving it up, so that another one is about to be known. */
   isHandingOver(service: string, key: number): boolean;
-  /** Connections that this process may have to one server of a service. */
-  connectionLimit(service: string): number;
+  /** Connections that this process may keep open to one server of a service without a request. */
+  mostIdleConnections(service: string): number;
   /** Fires when keys may have changed hands. */
   onDidChangeOwners: Event<void>;
   pause(milliseconds: number): Promise<void>;
@@ -230,7 +230,7 @@
       body: request.body,
       isIdempotent: request.route.kind === 'idempotent',
       timeoutMilliseconds,
-      connectionLimit: this.#knowledge.connectionLimit(request.service),
+      mostIdleConnections: this.#knowledge.mostIdleConnections(request.service),
       signal: request.signal,
     });
     slot.finish(slotUseOf(result));
--- a/packages/dispatch/src/common/serverCall.ts
+++ b/packages/dispatch/src/common/serverCall.ts
@@ -14,7 +14,8 @@
   readonly isIdempotent: boolean;
   /** Time that the server has for it, in milliseconds. */
   readonly timeoutMilliseconds: number;
-  readonly connectionLimit: number;
+  /** Connections to the server that may stay open without a request. */
+  readonly mostIdleConnections: number;
   readonly signal: AbortSignal;
 }
 
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -108,7 +108,7 @@
     }),
     ownerOf: () => undefined,
     isHandingOver: () => false,
-    connectionLimit: () => 4,
+    mostIdleConnections: () => 4,
     onDidChangeOwners: () => toDisposable(() => undefined),
     pause: () => Promise.resolve(),
     ...overrides,
--- a/packages/dispatch/src/node/serverConnections.ts
+++ b/packages/dispatch/src/node/serverConnections.ts
@@ -8,16 +8,14 @@
  */
 const TRUSTED_IDLE_MILLISECONDS = 4_000;
 
-interface Connections {
-  /** Idle connections, the one used last at the end. */
-  readonly idle: ServerConnection[];
-  open: number;
-}
-
-/** Transport over kept connections. A connection that went silent takes the idle ones to that server along. */
+/**
+ * Transport over kept connections. Requests in flight are bounded by the slots of servers, so only idle connections
+ * are bounded here. A connection that went silent takes the idle ones to that server along.
+ */
 export class ServerConnections extends DisposableBase implements ServerTransport {
   readonly #dialect: ServerDialect;
-  readonly #byAddress = new Map<string, Connections>();
+  /** Idle connections by address, the one used last at the end. */
+  readonly #idle = new Map<string, ServerConnection[]>();
   #opened = 0;
 
   constructor(dialect: ServerDialect) {
@@ -25,8 +23,8 @@
     this.#dialect = dialect;
     this.register(
       toDisposable(() => {
-        for (const connections of this.#byAddress.values()) {
-          closeIdle(connections, Number.POSITIVE_INFINITY);
+        for (const idle of this.#idle.values()) {
+          closeUnproven(idle, Number.POSITIVE_INFINITY);
         }
       }),
     );
@@ -38,58 +36,56 @@
   }
 
   async call(call: ServerCall): Promise<ServerCallResult> {
-    const connections = this.#connections(call.address);
-    const connection = this.#take(connections, call);
-    if (connection === undefined) {
+    if (this.isDisposed()) {
       return { kind: 'not-written' };
     }
+    const idle = this.#idleOf(call.address);
+    const connection = takeTrusted(idle, call.isIdempotent) ?? this.#open(call.address);
     const startedAt = performance.now();
     const result = await connection.send(call);
     if (result.kind === 'lost' && result.reason === 'deadline') {
-      closeIdle(connections, startedAt);
+      closeUnproven(idle, startedAt);
     }
-    if (connection.isUsable && !this.isDisposed()) {
-      connections.idle.push(connection);
+    if (connection.isUsable && !this.isDisposed() && idle.length < call.mostIdleConnections) {
+      idle.push(connection);
     } else {
-      connections.open -= 1;
       connection.dispose();
     }
     return result;
   }
 
-  #take(connections: Connections, call: ServerCall): ServerConnection | undefined {
-    for (let idle = connections.idle.pop(); idle !== undefined; idle = connections.idle.pop()) {
-      const idleMilliseconds = performance.now() - idle.provenAt;
-      if (idle.isUsable && (call.isIdempotent || idleMilliseconds < TRUSTED_IDLE_MILLISECONDS)) {
-        return idle;
-      }
-      connections.open -= 1;
-      idle.dispose();
-    }
-    if (connections.open >= call.connectionLimit || this.isDisposed()) {
-      return undefined;
-    }
-    connections.open += 1;
+  #open(address: string): ServerConnection {
     this.#opened += 1;
-    return new ServerConnection(call.address, this.#dialect);
+    return new ServerConnection(address, this.#dialect);
   }
 
-  #connections(address: string): Connections {
-    const known = this.#byAddress.get(address);
+  #idleOf(address: string): ServerConnection[] {
+    const known = this.#idle.get(address);
     if (known !== undefined) {
       return known;
     }
-    const connections: Connections = { idle: [], open: 0 };
-    this.#byAddress.set(address, connections);
-    return connections;
+    const idle: ServerConnection[] = [];
+    this.#idle.set(address, idle);
+    return idle;
+  }
+}
+
+/** Takes the connection used last that is still usable, and closes those that are not. */
+function takeTrusted(idle: ServerConnection[], isIdempotent: boolean): ServerConnection | undefined {
+  for (let connection = idle.pop(); connection !== undefined; connection = idle.pop()) {
+    const idleMilliseconds = performance.now() - connection.provenAt;
+    if (connection.isUsable && (isIdempotent || idleMilliseconds < TRUSTED_IDLE_MILLISECONDS)) {
+      return connection;
+    }
+    connection.dispose();
   }
+  return undefined;
 }
 
-function closeIdle(connections: Connections, notProvenSince: number): void {
-  const doubtful = connections.idle.filter(({ provenAt }) => provenAt < notProvenSince);
-  for (const connection of doubtful) {
-    connections.idle.splice(connections.idle.indexOf(connection), 1);
-    connections.open -= 1;
+/** Closes connections without an answer since a point in time. */
+function closeUnproven(idle: ServerConnection[], since: number): void {
+  for (const connection of idle.filter(({ provenAt }) => provenAt < since)) {
+    idle.splice(idle.indexOf(connection), 1);
     connection.dispose();
   }
 }
--- a/packages/dispatch/src/node/test/serverConnections.test.ts
+++ b/packages/dispatch/src/node/test/serverConnections.test.ts
@@ -52,7 +52,7 @@
     body: Buffer.alloc(0),
     isIdempotent: true,
     timeoutMilliseconds: 5_000,
-    connectionLimit: 4,
+    mostIdleConnections: 4,
     signal: new AbortController().signal,
     ...overrides,
   };
@@ -156,4 +156,37 @@
     assert.equal(await connections.call(call('127.0.0.1:1')), { kind: 'not-written' });
     connections.dispose();
   });
+
+  it('is not waited for by another request to the same server', async () => {
+    await withServer(
+      (socket, request) => {
+        setTimeout(() => socket.write(`${HEAD}content-length: 0\r\n\r\n`), request === 1 ? 100 : 0);
+      },
+      async (address, opened) => {
+        const connections = new ServerConnections(dialect);
+        const calls = [1, 2, 3].map(() => connections.call(call(address, { mostIdleConnections: 1 })));
+        const results = await Promise.all(calls);
+        assert.equal(
+          results.map(({ kind }) => kind),
+          ['answered', 'answered', 'answered'],
+        );
+        await connections.call(call(address, { mostIdleConnections: 1 }));
+        assert.is(opened(), 3, 'one connection was kept');
+        connections.dispose();
+      },
+    );
+  });
+
+  it('is kept only as far as the server has room for idle ones', async () => {
+    await withServer(
+      (socket) => socket.write(`${HEAD}content-length: 0\r\n\r\n`),
+      async (address, opened) => {
+        const connections = new ServerConnections(dialect);
+        await connections.call(call(address, { mostIdleConnections: 0 }));
+        await connections.call(call(address, { mostIdleConnections: 0 }));
+        assert.is(opened(), 2);
+        connections.dispose();
+      },
+    );
+  });
 });
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -38,8 +38,11 @@
 const TICK_MILLISECONDS = 50;
 /** Time in which a leaving server's keys usually have a new owner, in milliseconds. */
 const HAND_OVER_MILLISECONDS = 1_200;
-/** Part of the connections that servers accept which entry VMs use, so that orders still get through. */
-const CONNECTION_SHARE = 0.8;
+/**
+ * Part of the connections that a server accepts which entry VMs keep open without a request. The rest is for
+ * requests, which are as many as the server has slots, and for orders.
+ */
+const IDLE_CONNECTION_SHARE = 0.8;
 /** Time after the order to stop for which the port stays open: the balancer notices within 2 to 3 s. */
 const BALANCER_MILLISECONDS = 3_300;
 /** Time before the forced end at which the process ends by itself, in milliseconds. */
@@ -147,7 +150,7 @@
         server: (id) => this.#usableServer(id),
         ownerOf: (service, key) => this.#keys.ownerOf(service, key),
         isHandingOver: (service, key) => this.#isHandingOver(service, key),
-        connectionLimit: (service) => this.#connectionLimit(service),
+        mostIdleConnections: (service) => this.#mostIdleConnections(service),
         onDidChangeOwners: this.#keys.onDidChangeOwners,
         pause: delay,
       },
@@ -324,10 +327,10 @@
     return milliseconds !== undefined && milliseconds < HAND_OVER_MILLISECONDS;
   }
 
-  #connectionLimit(service: string): number {
-    const limit = this.#routes?.configuration.services.get(service)?.connectionsPerServer ?? 1;
+  #mostIdleConnections(service: string): number {
+    const limit = this.#routes?.configuration.services.get(service)?.connectionsPerServer ?? 0;
     const entryVms = Math.max(1, this.#roster.entryVms().length);
-    return Math.max(1, Math.floor((limit * CONNECTION_SHARE) / entryVms));
+    return Math.floor((limit * IDLE_CONNECTION_SHARE) / entryVms);
   }
 
   #dispatch(dispatcher: RequestDispatcher, request: CallerRequest): Promise<DispatchOutcome> {
@@ -355,7 +358,8 @@
       route: ended.match?.route.name,
       revision: ended.revision,
       key: ended.key,
-      assignment: ended.key === undefined ? undefined : this.#keys.revisionOf(service),
+      assignment:
+        ended.key === undefined ? undefined : this.#keys.owners.assignmentOf(service)?.assignment.revision,
       server: ended.outcome?.kind === 'answered' ? ended.outcome.serverId : undefined,
       status: ended.status,
       outcome,
