Have requests on a key wait for its next owner

Cause: a request that came to a server which had just released its key was sent to the same server again after 40 ms, up to four times, and then refused. The server finishes what runs on the key first, some 300 ms, and only then is there a next owner.

Ruled out: changes of owners that arrive late (the refused requests went by the newest revision).

Change: such a request waits until its key has another owner, for 350 ms or until its goal. Where the owner is new and may not have been granted the key yet, it is sent again as before. Who owns what, as far as it is known here, has a class of its own now; recent traffic by key moves to the package of key ownership.

Tests: a request is sent once to the former owner and once to the next one (failed before); once more to an owner that has not been granted the key yet; and is refused after one attempt when no owner comes.

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -3,7 +3,7 @@
 import type { CallerRequest, DispatchOutcome, NotRunReason } from './callerRequest.js';
 import type { CrashSuspects } from './crashSuspects.js';
 import type { RetryAllowance } from './retryAllowance.js';
-import type { ServerCallResult, ServerTransport } from './serverCall.js';
+import type { ServerCallResult, ServerRefusal, ServerTransport } from './serverCall.js';
 import type { SlotUse } from './serverLoad.js';
 import type { ServerRecord } from './serverRecord.js';
 import type { Slot, SlotResult, SlotSource } from './slotSource.js';
@@ -14,7 +14,7 @@
 const LEAST_ATTEMPT_MILLISECONDS = 5;
 /** Pause before a misdirected request is looked up once more, in milliseconds; a new owner is known by then. */
 const LOOK_UP_PAUSE_MILLISECONDS = 40;
-/** Longest time that a request waits for the next owner of its key, in milliseconds. */
+/** Time that a request may always wait for the next owner of its key, in milliseconds: a hand-over without load. */
 const HAND_OVER_MILLISECONDS = 350;
 /** Attempts of one request, refused and unwritten ones included. */
 const MOST_ROUNDS = 5;
@@ -27,6 +27,8 @@
   ownerOf(service: string, key: number): string | undefined;
   /** Whether the owner of a key is giving it up, so that another one is about to be known. */
   isHandingOver(service: string, key: number): boolean;
+  /** Whether the owner of a key is so new that it may not have been granted the key yet. */
+  hasNewOwner(service: string, key: number): boolean;
   /** Connections that this process may keep open to one server of a service without a request. */
   mostIdleConnections(service: string): number;
   /** Fires when keys may have changed hands. */
@@ -34,6 +36,9 @@
   pause(milliseconds: number): Promise<void>;
 }
 
+/** What is waited for before a request is sent once more. */
+type WaitBetweenAttempts = 'nothing' | 'pause' | 'next-owner';
+
 /** How an attempt was judged. */
 type Judgement =
   | { readonly kind: 'final'; readonly outcome: DispatchOutcome }
@@ -41,7 +46,7 @@
   | {
       readonly kind: 'again';
       readonly outcome: DispatchOutcome;
-      readonly pauses: boolean;
+      readonly wait: WaitBetweenAttempts;
       readonly needsAllowance: boolean;
     };
 
@@ -103,12 +108,12 @@
       last = judgement.outcome;
       doubt = last.kind === 'unknown' ? last : doubt;
       failedIds.push(server.id);
-      if (!this.#maySendAgain(request, sent, judgement.needsAllowance)) {
+      if (
+        !(await this.#waitBetweenAttempts(request, server.id, judgement.wait)) ||
+        !this.#maySendAgain(request, sent, judgement.needsAllowance)
+      ) {
         break;
       }
-      if (judgement.pauses) {
-        await this.#knowledge.pause(LOOK_UP_PAUSE_MILLISECONDS);
-      }
     }
     return doubt ?? last;
   }
@@ -120,7 +125,11 @@
     if (this.#suspects.isRefused(request)) {
       return notRun('crashes-servers', NO_SERVER_RETURN_MILLISECONDS);
     }
-    await this.#waitForHandOver(request);
+    const { service, key } = request;
+    if (request.isKeyed && key !== undefined) {
+      const until = performance.now() + HAND_OVER_MILLISECONDS;
+      await this.#pauseWhile(request, until, () => this.#knowledge.isHandingOver(service, key));
+    }
     const owner = request.isKeyed ? this.#owner(request) : undefined;
     if (request.isKeyed && owner === undefined) {
       return notRun('no-owner', NO_SERVER_RETURN_MILLISECONDS);
@@ -186,17 +195,31 @@
     }
   }
 
-  /** A hand-over takes a write and two orders; a caller that is sent away comes back much later. */
-  async #waitForHandOver(request: CallerRequest): Promise<void> {
-    const { key, service } = request;
-    const until = performance.now() + HAND_OVER_MILLISECONDS;
-    while (
-      request.isKeyed &&
-      key !== undefined &&
-      this.#knowledge.isHandingOver(service, key) &&
-      performance.now() < until &&
-      !request.signal.aborted
-    ) {
+  /** @returns false when sending once more would lead nowhere. */
+  async #waitBetweenAttempts(
+    request: CallerRequest,
+    serverId: string,
+    wait: WaitBetweenAttempts,
+  ): Promise<boolean> {
+    switch (wait) {
+      case 'nothing':
+        return true;
+      case 'pause':
+        await this.#knowledge.pause(LOOK_UP_PAUSE_MILLISECONDS);
+        return true;
+      case 'next-owner': {
+        // The server that gives a key up finishes what runs on it first, which takes about as long as a request.
+        const until = Math.max(performance.now() + HAND_OVER_MILLISECONDS, request.goalAt);
+        await this.#pauseWhile(request, until, () => this.#owner(request) === serverId);
+        return this.#owner(request) !== serverId;
+      }
+    }
+  }
+
+  /** Waits in short steps. A caller that is sent away during a hand-over comes back much later. */
+  async #pauseWhile(request: CallerRequest, until: number, isWanted: () => boolean): Promise<void> {
+    const end = Math.min(until, request.deadlineAt - LEAST_ATTEMPT_MILLISECONDS);
+    while (isWanted() && performance.now() < end && !request.signal.aborted) {
       await this.#knowledge.pause(LOOK_UP_PAUSE_MILLISECONDS / 2);
     }
   }
@@ -264,7 +287,7 @@
         return {
           kind: 'again',
           outcome,
-          pauses: request.isKeyed || result.refusal === 'misdirected',
+          wait: this.#waitAfterRefusal(request, result.refusal),
           needsAllowance: true,
         };
       }
@@ -272,7 +295,7 @@
         return {
           kind: 'again',
           outcome: notRun('unreachable', NO_SERVER_RETURN_MILLISECONDS),
-          pauses: request.isKeyed,
+          wait: request.isKeyed ? 'pause' : 'nothing',
           needsAllowance: false,
         };
       case 'lost': {
@@ -282,12 +305,23 @@
         const outcome: DispatchOutcome = { kind: 'unknown', reason: result.reason };
         const mayRepeat = request.route.kind === 'idempotent' && !request.signal.aborted;
         return mayRepeat
-          ? { kind: 'again', outcome, pauses: false, needsAllowance: true }
+          ? { kind: 'again', outcome, wait: 'nothing', needsAllowance: true }
           : { kind: 'final', outcome };
       }
     }
   }
 
+  #waitAfterRefusal({ isKeyed, key, service }: CallerRequest, refusal: ServerRefusal): WaitBetweenAttempts {
+    switch (refusal) {
+      case 'misdirected':
+        return isKeyed && key !== undefined && !this.#knowledge.hasNewOwner(service, key)
+          ? 'next-owner'
+          : 'pause';
+      case 'overloaded':
+        return isKeyed ? 'pause' : 'nothing';
+    }
+  }
+
   #maySendAgain(request: CallerRequest, sent: number, needsAllowance: boolean): boolean {
     return (
       sent < request.route.attempts &&
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -12,6 +12,7 @@
 
 const lost: ServerCallResult = { kind: 'lost', reason: 'connection-lost' };
 const refused: ServerCallResult = { kind: 'refused', refusal: 'overloaded' };
+const misdirected: ServerCallResult = { kind: 'refused', refusal: 'misdirected' };
 const unwritten: ServerCallResult = { kind: 'not-written' };
 const answered: ServerCallResult = { kind: 'answered', status: 200, headers: {}, body: Buffer.from('ok') };
 
@@ -108,6 +109,7 @@
     }),
     ownerOf: () => undefined,
     isHandingOver: () => false,
+    hasNewOwner: () => false,
     mostIdleConnections: () => 4,
     onDidChangeOwners: () => toDisposable(() => undefined),
     pause: () => Promise.resolve(),
@@ -213,6 +215,59 @@
   });
 });
 
+describe('a request whose key is being handed over', () => {
+  const keyed = { isKeyed: true, key: 7 };
+
+  it('is sent once to the owner that has given the key up, and then to the next owner', async () => {
+    let pauses = 0;
+    const [first] = await play([requestOf('at-most-once', keyed)], [misdirected], {
+      ownerOf: () => (pauses < 20 ? 'server-0' : 'server-1'),
+      pause: () => {
+        pauses += 1;
+        return Promise.resolve();
+      },
+    });
+    assert.is(first?.outcome.kind, 'answered');
+    assert.is(first?.sent, 2);
+  });
+
+  it('is sent again to an owner that has not been granted the key yet', async () => {
+    const transport = [misdirected, answered];
+    const asked: string[] = [];
+    const slots = {
+      acquire: (): Promise<SlotResult> =>
+        Promise.resolve({
+          kind: 'granted',
+          slot: { serverId: 'server-1', coordinatorId: 'vm-1', finish: () => undefined },
+        }),
+    };
+    const dispatcher = dispatcherOf(
+      slots,
+      {
+        call: ({ serverId }) => {
+          asked.push(serverId);
+          return Promise.resolve(transport.shift() ?? lost);
+        },
+      },
+      { ownerOf: () => 'server-1', hasNewOwner: () => true },
+      60,
+    );
+    assert.is((await dispatcher.dispatch(requestOf('idempotent', keyed))).kind, 'answered');
+    assert.equal(asked, ['server-1', 'server-1']);
+  });
+
+  it('is told as not run, with one attempt, when no other owner comes in time', async () => {
+    const goalAt = performance.now() + 30;
+    const [first] = await play(
+      [requestOf('idempotent', { ...keyed, goalAt, deadlineAt: goalAt + 50 })],
+      [misdirected, misdirected, misdirected],
+      { ownerOf: () => 'server-0', pause: () => new Promise((resolve) => setTimeout(resolve, 5)) },
+    );
+    assert.is(first?.outcome.kind === 'not-run' && first.outcome.reason, 'no-owner');
+    assert.is(first?.sent, 1);
+  });
+});
+
 describe('a request that crashes servers', () => {
   it('is refused as not run after two servers', async () => {
     const requests = Array.from({ length: 5 }, () => requestOf('at-most-once'));
--- a/packages/entryVm/src/common/keyControl.ts
+++ b/packages/entryVm/src/common/keyControl.ts
@@ -1,5 +1,4 @@
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
-import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import {
@@ -11,21 +10,17 @@
   ASSIGNER_KEY,
   CONTROL_TABLE,
   isAssignmentKey,
-  readAssignments,
-  type StoredAssignment,
 } from '@hickoryhoist/keyownership/common/assignmentStore.js';
-import { emptyAssignment, rangeOf } from '@hickoryhoist/keyownership/common/keyAssignment.js';
-import {
-  applyChange,
-  type KeyAssignmentChange,
-} from '@hickoryhoist/keyownership/common/keyAssignmentChange.js';
+import { emptyAssignment } from '@hickoryhoist/keyownership/common/keyAssignment.js';
+import type { KeyAssignmentChange } from '@hickoryhoist/keyownership/common/keyAssignmentChange.js';
 import { KeyAssigner, type OwnerCandidate } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
 import type { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
-import { KeyTrafficLog } from './keyTrafficLog.js';
+import { KeyOwners } from './keyOwners.js';
+import { KeyTrafficLog } from '@hickoryhoist/keyownership/common/keyTrafficLog.js';
 import type { EntryVmRoster, RosterEntry } from './entryVmRoster.js';
 import type { PeerMessage } from './peerMessage.js';
 import type { ServerRegistry } from './serverRegistry.js';
@@ -42,8 +37,6 @@
 const TYPICAL_MILLISECONDS = 150;
 /** Ranges in a change that is told to the others by datagram, at 130 bytes each; they read a larger one. */
 const MOST_RANGES_TOLD = 60;
-/** Time for which an assignment may be behind the assigner's before it is read from the store, in milliseconds. */
-const CHANGE_ARRIVAL_MILLISECONDS = 150;
 /** Silence after which an entry VM's row is deleted, in milliseconds; its return writes it again. */
 const GONE_MILLISECONDS = 8_000;
 
@@ -73,15 +66,10 @@
   readonly #assigners = new Map<string, KeyAssigner>();
   readonly #traffic = new Map<string, KeyTrafficLog>();
   readonly #serverMilliseconds = new Map<string, number>();
-  readonly #onDidChangeOwners = new Emitter<void>();
   readonly #firstHeardAt = new Map<string, number>();
   #recentKeys: Record<string, number[]> = {};
-  #assignments: ReadonlyMap<string, StoredAssignment> = new Map();
   /** Full reads of the control table after which this process may start to assign. */
   #loadsBeforeAssigning = 0;
-  /** Newest revision of each service's assignment that an assigner has told of. */
-  readonly #expectedRevisions = new Map<string, number>();
-  #behindSince: number | undefined;
   #assignerAddress: string | undefined;
   #heartbeatSentAt = 0;
   #heartbeatAt = performance.now();
@@ -89,13 +77,15 @@
   #nextHeartbeatAt = 0;
   #nextReportAt = 0;
 
-  /** Fires when keys may have changed hands. */
-  readonly onDidChangeOwners = this.#onDidChangeOwners.event;
+  readonly owners: KeyOwners;
 
   constructor(options: KeyControlOptions) {
     super();
     this.#options = options;
     const { self, store, logger, controlRows, health, roster } = options;
+    this.owners = new KeyOwners(() => {
+      controlRows.reload();
+    }, logger);
     this.#election = new AssignerElection({
       self,
       store,
@@ -120,7 +110,7 @@
     this.register(
       controlRows.onDidChange(() => {
         roster.update();
-        this.#setAssignments(readAssignments(controlRows.rows, this.#assignments, logger));
+        this.owners.takeRows(controlRows.rows);
       }),
     );
     this.#readers = new StoreReaders({
@@ -145,17 +135,7 @@
 
   /** Whether the owners of all keyed services are known. */
   get isReady(): boolean {
-    return this.#keyedServices().every((service) => this.#assignments.has(service));
-  }
-
-  ownerOf(service: string, key: number): string | undefined {
-    const stored = this.#assignments.get(service);
-    return stored === undefined ? undefined : rangeOf(stored.assignment.ranges, key)?.ownerId;
-  }
-
-  /** Revision of the assignment that this process goes by. */
-  revisionOf(service: string): number | undefined {
-    return this.#assignments.get(service)?.assignment.revision;
+    return this.#keyedServices().every((service) => this.owners.assignmentOf(service) !== undefined);
   }
 
   recordRequest(service: string, key: number): void {
@@ -172,11 +152,7 @@
     switch (message.type) {
       case 'assignment-change': {
         const { service, rowVersion, change } = message;
-        const known = this.#assignments.get(service);
-        const assignment = known === undefined ? undefined : applyChange(known.assignment, change);
-        if (assignment !== undefined) {
-          this.#setAssignments(new Map(this.#assignments).set(service, { assignment, rowVersion }));
-        }
+        this.owners.takeChange(service, change, rowVersion);
         return;
       }
       case 'heartbeat':
@@ -188,7 +164,7 @@
         this.#assignerAddress = this.#options.roster.ipAddressOf(message.id);
         this.#heartbeatSentAt = message.sentAt;
         this.#readers.expectVersions(message.versions);
-        this.#expectAssignments(message.assignments);
+        this.owners.expectRevisions(message.assignments);
         this.#heartbeatAt = performance.now();
         if (message.storeSilence > PROBE_AFTER_MILLISECONDS) {
           this.#probeStore();
@@ -240,33 +216,6 @@
     }
   }
 
-  #setAssignments(assignments: ReadonlyMap<string, StoredAssignment>): void {
-    this.#assignments = assignments;
-    this.#onDidChangeOwners.fire();
-  }
-
-  /** Changes of assignments come by datagram; one that was lost makes the table be read. */
-  #expectAssignments(revisions: Readonly<Record<string, number>>): void {
-    for (const [service, revision] of Object.entries(revisions)) {
-      const known = this.#expectedRevisions.get(service) ?? 0;
-      this.#expectedRevisions.set(service, Math.max(known, revision));
-    }
-    const isBehind = [...this.#expectedRevisions].some(
-      ([service, revision]) => revision > (this.revisionOf(service) ?? 0),
-    );
-    const now = performance.now();
-    if (!isBehind) {
-      this.#behindSince = undefined;
-      return;
-    }
-    this.#behindSince ??= now;
-    if (now - this.#behindSince > CHANGE_ARRIVAL_MILLISECONDS) {
-      this.#behindSince = undefined;
-      this.#options.logger.log('info', 'assignment-behind');
-      this.#options.controlRows.reload();
-    }
-  }
-
   /** Finds out whether this process reaches a store that the assigner does not reach. */
   #probeStore(): void {
     const { store, logger } = this.#options;
@@ -315,7 +264,7 @@
               this.#election.depose(reason);
             },
           },
-          this.#assignments.get(service) ?? { assignment: emptyAssignment, rowVersion: 0 },
+          this.owners.assignmentOf(service) ?? { assignment: emptyAssignment, rowVersion: 0 },
         );
         this.#assigners.set(service, assigner);
       }
@@ -355,9 +304,7 @@
       id: self.id,
       storeSilence: Math.round(health.silenceMilliseconds()),
       versions: this.#readers.versions(),
-      assignments: Object.fromEntries(
-        [...this.#assignments].map(([service, { assignment }]) => [service, assignment.revision]),
-      ),
+      assignments: this.owners.revisions(),
       sentAt: this.#election.clockNow(),
     });
     for (const { id } of roster.entryVms()) {
--- a/packages/entryVm/src/common/test/keyControl.test.ts
+++ b/packages/entryVm/src/common/test/keyControl.test.ts
@@ -294,7 +294,7 @@
         rig.store.silenceWaits(quiet, false);
         rig.announce('server-3', 'leaving');
         await rig.advance(1_500);
-        const owner = rig.vms.get(quiet)?.control.ownerOf('catalogue', 40_000);
+        const owner = rig.vms.get(quiet)?.control.owners.ownerOf('catalogue', 40_000);
         assert.is.not(owner, 'server-3');
       });
     });
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -92,8 +92,8 @@
       await rig.advance(DRAIN_MILLISECONDS);
       assert.is(knowLeaving(rig, 'server-4').length, rig.vms.size);
       for (const { id, control } of rig.vms.values()) {
-        assert.is.not(control.ownerOf('catalogue', 65_535), 'server-4', id);
-        assert.is.not(control.ownerOf('catalogue', 65_535), undefined, id);
+        assert.is.not(control.owners.ownerOf('catalogue', 65_535), 'server-4', id);
+        assert.is.not(control.owners.ownerOf('catalogue', 65_535), undefined, id);
       }
     });
   });
@@ -103,7 +103,7 @@
       await rig.advance(3_000);
       rig.announce('server-4', 'leaving');
       await rig.advance(1_000);
-      const owners = [...rig.vms.values()].map(({ control }) => control.ownerOf('catalogue', 65_535));
+      const owners = [...rig.vms.values()].map(({ control }) => control.owners.ownerOf('catalogue', 65_535));
       assert.is(new Set(owners).size, 1);
       assert.is.not(owners[0], 'server-4');
       assert.equal(
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -148,10 +148,11 @@
       this.#connections,
       {
         server: (id) => this.#usableServer(id),
-        ownerOf: (service, key) => this.#keys.ownerOf(service, key),
+        ownerOf: (service, key) => this.#keys.owners.ownerOf(service, key),
         isHandingOver: (service, key) => this.#isHandingOver(service, key),
+        hasNewOwner: (service, key) => this.#keys.owners.hasNewOwner(service, key),
         mostIdleConnections: (service) => this.#mostIdleConnections(service),
-        onDidChangeOwners: this.#keys.onDidChangeOwners,
+        onDidChangeOwners: this.#keys.owners.onDidChange,
         pause: delay,
       },
       new RetryAllowance(settings.retryAllowance, () => this.#roster.entryVms().length),
@@ -322,7 +323,7 @@
   }
 
   #isHandingOver(service: string, key: number): boolean {
-    const owner = this.#keys.ownerOf(service, key);
+    const owner = this.#keys.owners.ownerOf(service, key);
     const milliseconds = owner === undefined ? undefined : this.#registry.leavingMilliseconds(owner);
     return milliseconds !== undefined && milliseconds < HAND_OVER_MILLISECONDS;
   }
--- a/packages/entryVm/src/common/keyTrafficLog.ts
+++ b/packages/keyOwnership/src/common/keyTrafficLog.ts
@@ -1,4 +1,4 @@
-import type { KeyTraffic } from '@hickoryhoist/keyownership/common/keyPlanner.js';
+import type { KeyTraffic } from './keyPlanner.js';
 
 /** Time for which requests count as recent, in milliseconds: long enough for a few hundred requests. */
 const RECENT_MILLISECONDS = 2_000;
