Exclude a server that this entry VM knows to be leaving

Cause: a coordinator that is behind hands out slots of a server that the asker knows to be gone.

Change: the server is excluded from the next ask, as one that failed is. Without a key the reason is 'no-server'.

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -92,7 +92,9 @@
       const server = this.#mayStillSend(request, slot.slot);
       if (server === undefined) {
         slot.slot.finish('cancelled');
-        last = notRun('no-owner', LOOK_UP_PAUSE_MILLISECONDS);
+        // The coordinator may learn of a leaving server later than this process.
+        failedIds.push(slot.slot.serverId);
+        last = notRun(request.isKeyed ? 'no-owner' : 'no-server', LOOK_UP_PAUSE_MILLISECONDS);
         if (request.signal.aborted) {
           break;
         }
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -215,6 +215,38 @@
   });
 });
 
+describe('a slot of a server that is leaving as far as this entry VM knows', () => {
+  it('is given back for one of another server, also when the coordinator does not know yet', async () => {
+    const finished: string[] = [];
+    const slots = {
+      acquire: (_service: string, { excludedIds }: SlotWish): Promise<SlotResult> => {
+        const serverId = ['server-1', 'server-2'].find((id) => !excludedIds.includes(id)) ?? 'server-1';
+        return Promise.resolve({
+          kind: 'granted',
+          slot: { serverId, coordinatorId: 'vm-1', finish: () => finished.push(serverId) },
+        });
+      },
+    };
+    const outcome = await playOne(requestOf('at-most-once'), slots, {
+      server: (id) =>
+        id === 'server-1'
+          ? undefined
+          : {
+              id,
+              incarnation: 1,
+              service: 'circulation',
+              address: id,
+              availabilityZone: 'z',
+              slots: 2,
+              phase: 'ready',
+              warmupMilliseconds: 0,
+            },
+    });
+    assert.is(outcome.kind === 'answered' && outcome.serverId, 'server-2');
+    assert.equal(finished, ['server-1', 'server-2']);
+  });
+});
+
 describe('a request whose key is being handed over', () => {
   const keyed = { isKeyed: true, key: 7 };
 
