Read what has arrived before a coordinator counts as silent

Two coordinators that hand out the slots of one server overload it.

Change: the timer lets the event loop read once more before it judges; the function that does so moves to the base package.

Test: an entry VM that is late by 200 ms passes nobody over (failed before).

--- a/packages/base/src/common/asynchronous.ts
+++ b/packages/base/src/common/asynchronous.ts
@@ -23,6 +23,19 @@
   });
 }
 
+/** Turns of the event loop to its end: the rest of the present one, one that reads, and one that closes. */
+const TURNS_TO_CLOSE = 3;
+
+/**
+ * Waits until the event loop has read what has arrived and closed what has ended. In a process that is late, timers
+ * run before input that has been waiting for longer.
+ */
+export async function nextPoll(): Promise<void> {
+  for (let turn = 0; turn < TURNS_TO_CLOSE; turn += 1) {
+    await new Promise(setImmediate);
+  }
+}
+
 /** Runs an operation again and again with a pause between the end of one run and the next start. */
 export function repeat(
   pauseMilliseconds: () => number,
--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -1,3 +1,4 @@
+import { nextPoll } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { SlotUse } from '@hickoryhoist/dispatch/common/serverLoad.js';
@@ -225,13 +226,23 @@
 
   #setTimer(pending: PendingAsk, milliseconds: number): void {
     clearTimeout(pending.timer);
-    pending.timer = setTimeout(() => {
-      if (pending.asked < ASKS_PER_COORDINATOR) {
-        this.#ask(pending);
-      } else {
-        this.#passOver(pending, 'silent');
-      }
+    const timer = setTimeout(() => {
+      void nextPoll().then(() => {
+        const isAnswered = pending.timer !== timer || !this.#pending.has(pending.id);
+        if (!isAnswered) {
+          this.#askOnceMore(pending);
+        }
+      });
     }, milliseconds);
+    pending.timer = timer;
+  }
+
+  #askOnceMore(pending: PendingAsk): void {
+    if (pending.asked < ASKS_PER_COORDINATOR) {
+      this.#ask(pending);
+    } else {
+      this.#passOver(pending, 'silent');
+    }
   }
 
   /** Turns to the next coordinator. */
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
-import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { SlotResult, SlotWish } from '@hickoryhoist/dispatch/common/slotSource.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { CoordinatedSlots } from '../coordinatedSlots.js';
@@ -19,9 +19,17 @@
   });
   readonly vms = new Map<string, CoordinatedSlots>();
   readonly silent = new Set<string>();
+  /** Entry VMs whose process is late: it reads what has arrived only after its timers have run. */
+  readonly late = new Set<string>();
+  readonly events: string[] = [];
   /** Which copy of each message gets lost: every n-th one. */
   losesEvery = Number.POSITIVE_INFINITY;
   #messages = 0;
+  readonly #logger: Logger = {
+    log: (_level, event) => {
+      this.events.push(event);
+    },
+  };
 
   constructor(count: number) {
     const ids = Array.from({ length: count }, (_, index) => `vm-${index.toString()}`);
@@ -41,7 +49,7 @@
             send(to, message);
           }, 100);
         },
-        logger: silentLogger,
+        logger: this.#logger,
       });
       slots.setServers(SERVICE, [
         { id: 'server-1', incarnation: 1, availabilityZone: 'z', slots: SLOTS, warmupMilliseconds: 0 },
@@ -83,7 +91,14 @@
     }
     setTimeout(() => {
       if (!this.silent.has(from) && !this.silent.has(to)) {
-        this.vms.get(to)?.receive(from, message);
+        const receive = (): void => {
+          this.vms.get(to)?.receive(from, message);
+        };
+        if (this.late.has(to)) {
+          setImmediate(receive);
+        } else {
+          receive();
+        }
       }
     }, 1);
   }
@@ -157,6 +172,23 @@
     });
   });
 
+  it('are waited for by a process that was itself too late to read the answer', async () => {
+    await withRig(3, async (rig) => {
+      for (const late of rig.vms.keys()) {
+        rig.late.add(late);
+        const seen = watch([rig.acquire(late)]);
+        rig.clock.tick(200);
+        await new Promise((resolve) => setImmediate(resolve));
+        await rig.clock.tickAsync(1);
+        assert.is(seen.granted.length, 1);
+        seen.granted.forEach(finish);
+        rig.late.clear();
+        await rig.clock.tickAsync(1_000);
+      }
+      assert.equal(rig.events, []);
+    });
+  });
+
   it('are withdrawn when the caller leaves', async () => {
     await withRig(3, async (rig) => {
       const held = watch(Array.from({ length: PLACES }, () => rig.acquire('vm-0')));
--- a/packages/entryVm/src/node/callerServer.ts
+++ b/packages/entryVm/src/node/callerServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { nextPoll } from '@hickoryhoist/base/common/asynchronous.js';
 import { connectionHeaders } from '@hickoryhoist/base/common/connectionHeaders.js';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError, HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
@@ -22,8 +23,6 @@
 /** Time for which idle connections stay open before a configuration says, in milliseconds. */
 const FIRST_IDLE_MILLISECONDS = 15_000;
 const MILLISECONDS_PER_SECOND = 1_000;
-/** Turns of the event loop to its end: the rest of the present one, one that reads, and one that closes. */
-const TURNS_TO_CLOSE = 3;
 
 /** How a request ended, for metrics and logs. */
 export interface EndedRequest {
@@ -146,6 +145,7 @@
       return;
     }
     const body = await readBody(message, routes.configuration.limits.bodyBytes);
+    // One turn of the loop may read the request but not the end of its connection, which waits as well.
     await nextPoll();
     if (caller.signal.aborted) {
       logger.log('info', 'caller-left-before-dispatch', { request: id });
@@ -325,16 +325,6 @@
   }
 }
 
-/**
- * Waits until the event loop has asked for input once more and closed what ended. In a process that is late, a
- * caller's request and the end of its connection are both waiting, but one turn of the loop reads only the request.
- */
-async function nextPoll(): Promise<void> {
-  for (let turn = 0; turn < TURNS_TO_CLOSE; turn += 1) {
-    await new Promise(setImmediate);
-  }
-}
-
 type BodyResult =
   | { readonly kind: 'read'; readonly body: Buffer }
   | { readonly kind: 'too-large' }
