Learn the time of a request at a server without its time in the queue

Cause: a busy server has one request more than slots, so that it never idles. The time from grant to answer was taken for the time that a request takes, a half more than it does at a busy server with two slots. So waits were expected to be longer than they are, and the planner saw busy servers as slower than idle ones and moved keys off them.

Change: an attempt beyond the slots begins when another one ends; its time counts from there.

--- a/packages/dispatch/src/common/serverLoad.ts
+++ b/packages/dispatch/src/common/serverLoad.ts
@@ -13,12 +13,20 @@
 /** How an attempt at a server ended, as far as its load and health are concerned. */
 export type SlotUse = 'answered' | 'failed' | 'refused' | 'unreachable' | 'silent' | 'cancelled';
 
+/** An attempt at a server. */
+interface Attempt {
+  readonly begunAt: number;
+  /** When the server began to work on it; undefined while it waits in the server's queue. */
+  startedAt: number | undefined;
+}
+
 /** What is known of one server from the attempts made at it. */
 export class ServerLoad {
   readonly id: string;
   readonly availabilityZone: string;
   readonly slots: number;
-  inFlight = 0;
+  /** Attempts that have not ended, the oldest first. */
+  readonly #attempts = new Map<string, Attempt>();
   #smoothedMilliseconds: number;
   #failureShare = 0;
   #avoidUntil = 0;
@@ -41,11 +49,16 @@
     this.#coldUntil = coldUntil;
   }
 
+  /** Attempts that have not ended. */
+  get inFlight(): number {
+    return this.#attempts.size;
+  }
+
   get hasAnswered(): boolean {
     return this.#lastAnsweredAt > 0;
   }
 
-  /** Time that a request takes at this server, in milliseconds. */
+  /** Time that a request takes at this server once it has left the queue, in milliseconds. */
   expectedMilliseconds(now: number): number {
     return this.#smoothedMilliseconds * (now < this.#coldUntil ? COLD_FACTOR : 1);
   }
@@ -65,23 +78,50 @@
     return now < this.#avoidUntil;
   }
 
-  record(use: SlotUse, milliseconds: number, now: number): void {
+  /** Begins an attempt. One beyond the server's slots waits there for another to end. */
+  begin(attemptId: string, now: number): void {
+    const isQueued = this.#attempts.size >= this.slots;
+    this.#attempts.set(attemptId, { begunAt: now, startedAt: isQueued ? undefined : now });
+  }
+
+  /** Ends an attempt. @returns the time that the server worked on it, in milliseconds, where it is known. */
+  end(attemptId: string, use: SlotUse, now: number): number | undefined {
+    const attempt = this.#attempts.get(attemptId);
+    if (attempt === undefined) {
+      return undefined;
+    }
+    this.#attempts.delete(attemptId);
+    const { begunAt, startedAt } = attempt;
+    const milliseconds = startedAt === undefined ? undefined : now - startedAt;
+    this.#record(use, begunAt, milliseconds, now);
+    const first = [...this.#attempts.values()]
+      .slice(0, this.slots)
+      .find((other) => other.startedAt === undefined);
+    if (first !== undefined) {
+      first.startedAt = now;
+    }
+    return milliseconds;
+  }
+
+  #record(use: SlotUse, begunAt: number, milliseconds: number | undefined, now: number): void {
     switch (use) {
       case 'answered':
         this.#avoidance = FIRST_AVOIDANCE_MILLISECONDS;
         this.#lastAnsweredAt = now;
         this.#failureShare *= 1 - FAILURE_SMOOTHING;
-        this.#learn(milliseconds / (now < this.#coldUntil ? COLD_FACTOR : 1));
+        if (milliseconds !== undefined) {
+          this.#learn(milliseconds / (now < this.#coldUntil ? COLD_FACTOR : 1));
+        }
         return;
       case 'failed':
       case 'refused':
         this.#failureShare += FAILURE_SMOOTHING * (1 - this.#failureShare);
         return;
       case 'silent':
-        this.#learn(milliseconds);
+        this.#learn(milliseconds ?? now - begunAt);
         this.#failureShare += FAILURE_SMOOTHING * (1 - this.#failureShare);
         // A server that answered others in the meantime is slow, not gone.
-        if (this.#lastAnsweredAt < now - milliseconds) {
+        if (this.#lastAnsweredAt < begunAt) {
           this.#avoid(now);
         }
         return;
@@ -90,7 +130,7 @@
         return;
       case 'cancelled':
         // A lower bound: the server took at least this long.
-        if (milliseconds > this.#smoothedMilliseconds) {
+        if (milliseconds !== undefined && milliseconds > this.#smoothedMilliseconds) {
           this.#learn(milliseconds);
         }
     }
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -64,7 +64,6 @@
 
 interface Grant {
   readonly load: ServerLoad;
-  readonly grantedAt: number;
   readonly expiresAt: number;
 }
 
@@ -145,10 +144,8 @@
       return [];
     }
     this.#grants.delete(askId);
-    grant.load.inFlight -= 1;
-    const milliseconds = now - grant.grantedAt;
-    grant.load.record(use, milliseconds, now);
-    if (use === 'answered') {
+    const milliseconds = grant.load.end(askId, use, now);
+    if (use === 'answered' && milliseconds !== undefined) {
       this.#typicalMilliseconds += TYPICAL_SMOOTHING * (milliseconds - this.#typicalMilliseconds);
     }
     return this.#advance(now);
@@ -159,8 +156,7 @@
     for (const [askId, grant] of this.#grants) {
       if (now > grant.expiresAt) {
         this.#grants.delete(askId);
-        grant.load.inFlight -= 1;
-        grant.load.record('cancelled', now - grant.grantedAt, now);
+        grant.load.end(askId, 'cancelled', now);
       }
     }
     return this.#advance(now);
@@ -191,9 +187,9 @@
   }
 
   #grant(ask: SlotAsk, load: ServerLoad, now: number): SlotDecision {
-    load.inFlight += 1;
+    load.begin(ask.id, now);
     const expiresAt = ask.deadlineAt + GRANT_SLACK_MILLISECONDS;
-    this.#grants.set(ask.id, { load, grantedAt: now, expiresAt });
+    this.#grants.set(ask.id, { load, expiresAt });
     return { kind: 'granted', askId: ask.id, serverId: load.id };
   }
 
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -59,6 +59,37 @@
     });
   });
 
+  describe('of a server that is always busy', () => {
+    it('are judged by the time that requests take there, without their time in its queue', () => {
+      const scheduler = schedulerOf(server('one'));
+      const workMilliseconds = 100;
+      const running: { id: string; endsAt: number }[] = [];
+      const queued: string[] = [];
+      let now = 0;
+      for (let index = 0; index < 60; index += 1) {
+        while (running.length + queued.length < PLACES) {
+          const id = `${index.toString()}-${queued.length.toString()}-${running.length.toString()}`;
+          const [decision] = scheduler.ask(ask(id, { goalAt: now + 1_000, deadlineAt: now + 3_000 }), now);
+          assert.is(decision?.kind, 'granted');
+          queued.push(id);
+          if (running.length < SLOTS) {
+            running.push({ id: queued.shift() ?? '', endsAt: now + workMilliseconds });
+          }
+        }
+        const first = running.shift();
+        assert.ok(first);
+        now = first.endsAt;
+        scheduler.finish(first.id, 'answered', now);
+        const next = queued.shift();
+        if (next !== undefined) {
+          running.push({ id: next, endsAt: now + workMilliseconds });
+        }
+      }
+      const learned = scheduler.learnedMilliseconds(now).one ?? 0;
+      assert.ok(Math.abs(learned - workMilliseconds) < 1, `${learned.toString()} ms`);
+    });
+  });
+
   describe('in a burst', () => {
     it('are never handed out beyond the places of a server', () => {
       const scheduler = schedulerOf(server('one'));
