Share keys out by a server's time over many requests

Cause: keys are shared out by how many requests a server can serve, and that was learned from about twelve requests, which differ by a factor of ten. So servers seemed to become slower and faster, and keys moved to and fro.

Change: besides the recent time, by which requests are placed, a server has a long-term one, which follows at once when the recent one differs by a factor of 1.8.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
   ownership: ['base', 'store', 'protocol', 'configuration'],
   gateway: ['base', 'protocol', 'configuration', 'ownership'],
   daemon: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway'],
-  standIns: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway', 'daemon', 'keyownership'],
+  standIns: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway', 'daemon', 'keyownership', 'dispatch'],
   routing: ['base'],
   dispatch: ['base', 'routing'],
   keyownership: ['base', 'store'],
--- a/packages/dispatch/src/common/serverLoad.ts
+++ b/packages/dispatch/src/common/serverLoad.ts
@@ -1,5 +1,9 @@
 /** Weight of a new sample in the smoothed time of a server. */
 const SMOOTHING = 0.15;
+/** The same for the long-term time, from which keys are shared out: single requests differ by a factor of ten. */
+const LONG_TERM_SMOOTHING = 0.02;
+/** Factor between recent and long-term time beyond which the server itself has changed. */
+const CHANGE_FACTOR = 1.8;
 /** Weight of a new sample in the smoothed share of failures. */
 const FAILURE_SMOOTHING = 0.2;
 /** Factor by which a server that has just started is slower. */
@@ -28,6 +32,8 @@
   /** Attempts that have not ended, the oldest first. */
   readonly #attempts = new Map<string, Attempt>();
   #smoothedMilliseconds: number;
+  #longTermMilliseconds: number;
+  #learned = 0;
   #failureShare = 0;
   #avoidUntil = 0;
   #avoidance = FIRST_AVOIDANCE_MILLISECONDS;
@@ -46,6 +52,7 @@
     this.availabilityZone = availabilityZone;
     this.slots = slots;
     this.#smoothedMilliseconds = typicalMilliseconds;
+    this.#longTermMilliseconds = typicalMilliseconds;
     this.#coldUntil = coldUntil;
   }
 
@@ -63,6 +70,11 @@
     return this.#smoothedMilliseconds * (now < this.#coldUntil ? COLD_FACTOR : 1);
   }
 
+  /** Time that a request takes on average over some dozens of requests, in milliseconds. */
+  longTermMilliseconds(now: number): number {
+    return this.#longTermMilliseconds * (now < this.#coldUntil ? COLD_FACTOR : 1);
+  }
+
   /** Expected time weighted by how often the server fails. */
   expectedCost(now: number): number {
     return this.expectedMilliseconds(now) * (1 + FAILURE_WEIGHT * this.#failureShare);
@@ -138,6 +150,13 @@
 
   #learn(milliseconds: number): void {
     this.#smoothedMilliseconds += SMOOTHING * (milliseconds - this.#smoothedMilliseconds);
+    this.#learned += 1;
+    const weight = Math.max(1 / (this.#learned + 1), LONG_TERM_SMOOTHING);
+    this.#longTermMilliseconds += weight * (milliseconds - this.#longTermMilliseconds);
+    const change = this.#smoothedMilliseconds / this.#longTermMilliseconds;
+    if (change > CHANGE_FACTOR || change < 1 / CHANGE_FACTOR) {
+      this.#longTermMilliseconds = this.#smoothedMilliseconds;
+    }
   }
 
   #avoid(now: number): void {
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -94,7 +94,7 @@
   /** Time that a request takes at each server that has answered one, in milliseconds. */
   learnedMilliseconds(now: number): Readonly<Record<string, number>> {
     const learned = [...this.#loads.values()].filter(({ load }) => load.hasAnswered);
-    return Object.fromEntries(learned.map(({ load }) => [load.id, load.expectedMilliseconds(now)]));
+    return Object.fromEntries(learned.map(({ load }) => [load.id, load.longTermMilliseconds(now)]));
   }
 
   /** Replaces the set of servers; what is known of servers that stay is kept. */
