Move keys only where a server's load is no chance

Cause: a server counts some 16 requests in the two seconds that are looked at, with a standard deviation of 4, and gave keys away for six requests too many. Once ranges were many, up to four small ranges at a look, 13 a second, went to their neighbours' owners besides.

--- a/packages/keyOwnership/src/common/keyPlanner.ts
+++ b/packages/keyOwnership/src/common/keyPlanner.ts
@@ -34,12 +34,14 @@
 const LOW_UTILISATION = 0.3;
 /** Least number of recent requests that a server must have too many; fewer are chance. */
 const LEAST_EXCESS = 6;
+/** The same in standard deviations of the number of requests that a server should have. */
+const SIGNIFICANCE = 2;
 /** Least number of recent requests that a move must shift. */
 const LEAST_REQUESTS = 2;
 /** Ranges for each server above which small ranges without load go to the owners of their neighbours. */
 const MANY_RANGES = 3;
-/** Small ranges that go to a neighbour's owner in one round at most. */
-const MOST_REUNIONS = 4;
+/** Small ranges that go to a neighbour's owner in one round at most: each hand-over stops requests for a while. */
+const MOST_REUNIONS = 1;
 /** Largest range that goes to a neighbour's owner, as a part of a server's even share of all keys. */
 const SMALL_SHARE = 0.25;
 /** Share of keys that a move without load may take, to give a server without keys its first ones. */
@@ -238,8 +240,9 @@
       const isHot =
         utilisationOf(giver) >= HIGH_UTILISATION &&
         utilisationOf(giver) >= LEAST_RATIO * utilisationOf(receiver);
-      const excess = giver.requests - this.#target * giver.capacity;
-      if (!isHot || excess < LEAST_EXCESS) {
+      const wanted = this.#target * giver.capacity;
+      const excess = giver.requests - wanted;
+      if (!isHot || excess < Math.max(LEAST_EXCESS, SIGNIFICANCE * Math.sqrt(wanted))) {
         return undefined;
       }
       const piece = bestPiece(giver.pieces, Math.min(excess, this.#roomOf(receiver)));
--- a/packages/keyOwnership/src/common/test/keyPlanner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyPlanner.test.ts
@@ -7,6 +7,10 @@
 const SEED = 7;
 const SECONDS = 2;
 const REQUESTS_PER_SECOND = 9;
+/** Looks at a load of which each is drawn anew. */
+const LOOKS = 40;
+/** Part of the servers that may give keys away at a look when only chance makes them differ: beyond two sigma. */
+const CHANCE_SHARE = 0.023;
 /** Moves that a service of this size may begin at a time. */
 const MOST_MOVES = 20;
 
@@ -31,8 +35,8 @@
 }
 
 /** A crowd: a part of the requests goes to a few keys that lie side by side. */
-function crowd(perSecond: number, share: number, firstKey: number, keys: number): KeyTraffic {
-  const random = new RandomSource(SEED);
+function crowd(perSecond: number, share: number, firstKey: number, keys: number, seed = SEED): KeyTraffic {
+  const random = new RandomSource(seed);
   const drawn = Array.from({ length: perSecond * SECONDS }, () =>
     random.fraction() < share ? random.integer(firstKey, firstKey + keys - 1) : random.integer(0, LAST_KEY),
   );
@@ -111,6 +115,31 @@
     assert.equal(planMoves(ranges, servers, crowd(80, 0, 0, 1), MOST_MOVES), []);
   });
 
+  it('does not follow chance when servers are busy', () => {
+    const servers = serversOf(60);
+    const ranges = evenRanges(servers);
+    const perSecond = 0.8 * REQUESTS_PER_SECOND * servers.length;
+    let moves = 0;
+    for (let look = 0; look < LOOKS; look += 1) {
+      moves += planMoves(ranges, servers, crowd(perSecond, 0, 0, 1, look), MOST_MOVES).length;
+    }
+    const most = CHANCE_SHARE * servers.length * LOOKS;
+    assert.ok(moves <= most, `${moves.toString()} moves of ${most.toString()} at the most`);
+  });
+
+  it('joins small ranges one by one, since each hand-over stops requests for a while', () => {
+    const servers = serversOf(4);
+    const many = Array.from({ length: 32 }, (_, index) => ({
+      from: index * 1_000,
+      to: index === 31 ? LAST_KEY : index * 1_000 + 999,
+      ownerId: servers[index % servers.length]?.id ?? '',
+      ownerIncarnation: 1,
+      ownerAddress: '10.0.0.1:80',
+      fence: 1,
+    }));
+    assert.is(planMoves(many, servers, { sortedKeys: [], seconds: SECONDS }, MOST_MOVES).length, 1);
+  });
+
   it('gives small ranges without load to the owners of their neighbours once ranges are many', () => {
     const servers = serversOf(4);
     const quiet = { sortedKeys: [], seconds: SECONDS };
