Let callers that are late anyway wait for a fifth of their time

Load pattern: a server gets more requests than it serves for some seconds. Those refused come back after their goal and were accepted for a wait of up to 0.3 of the time that they have left, more than a second, and with them in front new requests became late as well.

Test: a caller after its goal is refused a wait of a quarter of its time (accepted before).

--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -13,7 +13,7 @@
 /** Expected cost of a server in another availability zone, relative to one in the same zone, for large bodies. */
 const OTHER_ZONE_FACTOR = 3;
 /** Share of the time left up to which a request may wait that can no longer meet its goal. */
-const LATE_WAIT_SHARE = 0.3;
+const LATE_WAIT_SHARE = 0.2;
 
 /** A request for a slot of a server. Times are on the scheduler's clock, in milliseconds. */
 export interface SlotAsk {
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -90,6 +90,17 @@
     });
   });
 
+  describe('when callers come back after their goal', () => {
+    it('are refused to those that would wait so long that new requests become late as well', () => {
+      const scheduler = schedulerOf(server('one'));
+      fill(scheduler);
+      // A wait of some 100 ms: two requests are before it at 100 ms each and two slots.
+      const late = (left: number): Partial<SlotAsk> => ({ goalAt: -1, deadlineAt: left });
+      assert.is(scheduler.ask(ask('soon over', late(400)), 0)[0]?.kind, 'refused');
+      assert.equal(scheduler.ask(ask('has time', late(2_000)), 0), []);
+    });
+  });
+
   describe('in a burst', () => {
     it('are never handed out beyond the places of a server', () => {
       const scheduler = schedulerOf(server('one'));
