Tell changes of assignments in the compact form of their row

Cause: a change of more than 60 ranges was not told by datagram but read from the store, by every entry VM.

Change: a change goes out with each owner once, as the row has it, at 75 instead of 130 bytes a range, and may have 100 ranges.

Test: a change of 100 ranges fits into 10 KB (13 KB before, and not sent).

--- a/packages/entryVm/src/common/keyControl.ts
+++ b/packages/entryVm/src/common/keyControl.ts
@@ -12,7 +12,10 @@
   isAssignmentKey,
 } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import { emptyAssignment } from '@hickoryhoist/keyownership/common/keyAssignment.js';
-import type { KeyAssignmentChange } from '@hickoryhoist/keyownership/common/keyAssignmentChange.js';
+import {
+  encodeChange,
+  type KeyAssignmentChange,
+} from '@hickoryhoist/keyownership/common/keyAssignmentChange.js';
 import { KeyAssigner, type OwnerCandidate } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
@@ -35,8 +38,11 @@
 const KEYS_PER_REPORT = 120;
 /** Time that a request takes at a server of which nothing is known, in milliseconds. */
 const TYPICAL_MILLISECONDS = 150;
-/** Ranges in a change that is told to the others by datagram, at 130 bytes each; they read a larger one. */
-const MOST_RANGES_TOLD = 60;
+/**
+ * Ranges in a change that is told to the others by datagram, at up to 75 bytes each; they read a larger one. All moves
+ * of one look at the balance, three ranges each, and the ranges joined with them fit.
+ */
+const MOST_RANGES_TOLD = 100;
 /** Silence after which an entry VM's row is deleted, in milliseconds; its return writes it again. */
 const GONE_MILLISECONDS = 8_000;
 
@@ -274,7 +280,12 @@
 
   #tellChange(service: string, change: KeyAssignmentChange, rowVersion: number): void {
     if (change.added.length <= MOST_RANGES_TOLD) {
-      this.#options.sendToOthers({ type: 'assignment-change', service, rowVersion, change });
+      this.#options.sendToOthers({
+        type: 'assignment-change',
+        service,
+        rowVersion,
+        change: encodeChange(change),
+      });
     }
   }
 
--- a/packages/entryVm/src/common/keyOwners.ts
+++ b/packages/entryVm/src/common/keyOwners.ts
@@ -1,10 +1,12 @@
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
+import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { readAssignments, type StoredAssignment } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import { type OwnedRange, rangeOf } from '@hickoryhoist/keyownership/common/keyAssignment.js';
 import {
   applyChange,
-  type KeyAssignmentChange,
+  decodeChange,
+  type EncodedChange,
 } from '@hickoryhoist/keyownership/common/keyAssignmentChange.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 
@@ -63,11 +65,18 @@
   }
 
   /** Takes over a change that the assigner has told of. */
-  takeChange(service: string, change: KeyAssignmentChange, rowVersion: number): void {
+  takeChange(service: string, change: EncodedChange, rowVersion: number): void {
     const known = this.#assignments.get(service);
-    const assignment = known === undefined ? undefined : applyChange(known.assignment, change);
-    if (assignment !== undefined) {
-      this.#take(new Map(this.#assignments).set(service, { assignment, rowVersion }));
+    if (known === undefined) {
+      return;
+    }
+    try {
+      const assignment = applyChange(known.assignment, decodeChange(change));
+      if (assignment !== undefined) {
+        this.#take(new Map(this.#assignments).set(service, { assignment, rowVersion }));
+      }
+    } catch (error) {
+      this.#logger.log('error', 'assignment-change-unreadable', { service, reason: describeError(error) });
     }
   }
 
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { keyAssignmentChangeSchema } from '@hickoryhoist/keyownership/common/keyAssignmentChange.js';
+import { encodedChangeSchema } from '@hickoryhoist/keyownership/common/keyAssignmentChange.js';
 
 const askSchema = z.object({
   type: z.literal('ask'),
@@ -71,7 +71,7 @@
     type: z.literal('assignment-change'),
     service: z.string(),
     rowVersion: z.number(),
-    change: keyAssignmentChangeSchema,
+    change: encodedChangeSchema,
   }),
   z.object({
     type: z.literal('report'),
--- a/packages/keyOwnership/src/common/keyAssignment.ts
+++ b/packages/keyOwnership/src/common/keyAssignment.ts
@@ -1,21 +1,18 @@
-import { z } from 'zod';
-
 /** Keys are integers from 0 to this one, both included. */
 export const LAST_KEY = 65_535;
 
-/** One range as entry VMs tell each other. */
-export const ownedRangeSchema = z.object({
-  from: z.int().min(0).max(LAST_KEY),
-  to: z.int().min(0).max(LAST_KEY),
-  ownerId: z.string(),
-  ownerIncarnation: z.number(),
-  /** Where the owner is reached, also when its announcement is missing. */
-  ownerAddress: z.string(),
-  fence: z.int().min(1),
-});
-
 /** Neighbouring keys with one owner. The fence is above that of every earlier owner of any of these keys. */
-export type OwnedRange = Readonly<z.output<typeof ownedRangeSchema>>;
+export interface OwnedRange {
+  /** First key. */
+  readonly from: number;
+  /** Last key. */
+  readonly to: number;
+  readonly ownerId: string;
+  readonly ownerIncarnation: number;
+  /** Where the owner is reached, also when its announcement is missing. */
+  readonly ownerAddress: string;
+  readonly fence: number;
+}
 
 /**
  * Owners of a service's keys. Ranges are sorted, do not overlap, and may leave gaps of keys without an owner.
--- a/packages/keyOwnership/src/common/keyAssignmentChange.ts
+++ b/packages/keyOwnership/src/common/keyAssignmentChange.ts
@@ -1,18 +1,37 @@
 import { z } from 'zod';
-import { type KeyAssignment, type OwnedRange, ownedRangeSchema } from './keyAssignment.js';
+import { decodeAssignment, encodeAssignment } from './assignmentRow.js';
+import type { KeyAssignment, OwnedRange } from './keyAssignment.js';
 
-/** Schema of the difference between two revisions of an assignment. */
-export const keyAssignmentChangeSchema = z.object({
+/** Difference between two revisions of an assignment, small when few keys change hands. */
+export interface KeyAssignmentChange {
   /** Revision that the change is made to. */
-  base: z.int().min(0),
-  revision: z.int().min(0),
+  readonly base: number;
+  readonly revision: number;
   /** First keys of the ranges that are gone or were replaced. */
+  readonly removed: readonly number[];
+  readonly added: readonly OwnedRange[];
+}
+
+/** Schema of a change as entry VMs tell each other. */
+export const encodedChangeSchema = z.object({
+  base: z.int().min(0),
   removed: z.array(z.int()),
-  added: z.array(ownedRangeSchema),
+  /** The new revision with the ranges that were added, in the form of an assignment's row. */
+  added: z.string(),
 });
 
-/** Difference between two revisions of an assignment, small when few keys change hands. */
-export type KeyAssignmentChange = Readonly<z.output<typeof keyAssignmentChangeSchema>>;
+/** A change as entry VMs tell each other, with each owner once. */
+export type EncodedChange = z.output<typeof encodedChangeSchema>;
+
+export function encodeChange({ base, revision, removed, added }: KeyAssignmentChange): EncodedChange {
+  return { base, removed: [...removed], added: encodeAssignment({ revision, ranges: added }) };
+}
+
+/** @throws InvalidDocumentError */
+export function decodeChange({ base, removed, added }: EncodedChange): KeyAssignmentChange {
+  const { revision, ranges } = decodeAssignment('change of an assignment', added);
+  return { base, revision, removed, added: ranges };
+}
 
 export function changeBetween(before: KeyAssignment, after: KeyAssignment): KeyAssignmentChange {
   const known = new Map(before.ranges.map((range) => [range.from, range]));
--- a/packages/keyOwnership/src/common/test/keyAssignmentChange.test.ts
+++ b/packages/keyOwnership/src/common/test/keyAssignmentChange.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { KeyAssignment, OwnedRange } from '../keyAssignment.js';
-import { applyChange, changeBetween } from '../keyAssignmentChange.js';
+import { applyChange, changeBetween, decodeChange, encodeChange } from '../keyAssignmentChange.js';
 
 const SEED = 1;
 const STEP = 1_000;
@@ -36,7 +36,8 @@
   it('makes the second one of the first one', () => {
     fc.assert(
       fc.property(assignments(4), assignments(5), (before, after) => {
-        assert.equal(applyChange(before, changeBetween(before, after)), after);
+        const told = decodeChange(encodeChange(changeBetween(before, after)));
+        assert.equal(applyChange(before, told), after);
       }),
       { seed: SEED, numRuns: 500 },
     );
@@ -65,4 +66,19 @@
     assert.equal(change.removed, [10]);
     assert.is(change.added.length, 1);
   });
+
+  it('fits into a datagram of 10 KB to each entry VM when 24 moves and the ranges joined with them are told', () => {
+    const added = Array.from({ length: 100 }, (_, index) => ({
+      from: index * 500,
+      to: index * 500 + 499,
+      ownerId: `i-0123456789-${index.toString()}`,
+      ownerIncarnation: 1_777_677_000_000 + index,
+      ownerAddress: `10.30.100.${index.toString()}:8525`,
+      fence: 1_000,
+    }));
+    const removed = added.map(({ from }) => from);
+    const encoded = encodeChange({ base: 999, revision: 1_000, removed, added });
+    const bytes = JSON.stringify(encoded).length;
+    assert.ok(bytes <= 10_000, `${bytes.toString()} bytes`);
+  });
 });
