Let the store answer or fail before a table is asked for anew

Cause: an entry VM that is cut off from the store, but hears others tell of changes, gave its refresh up after 300 ms for another one.

Change: a refresh that is under way is waited for; it has a time limit of its own.

--- a/packages/standIns/src/common/emulator/memoryRowStore.ts
+++ b/packages/standIns/src/common/emulator/memoryRowStore.ts
@@ -18,6 +18,8 @@
 export type StoreCondition =
   | { readonly kind: 'working' }
   | { readonly kind: 'down' }
+  /** Calls are not answered, and fail after a time. */
+  | { readonly kind: 'silent'; readonly failsAfterMilliseconds: number }
   /** Writes are done after a time, and not answered. */
   | { readonly kind: 'answers-lost'; readonly doneAfterMilliseconds: number };
 
@@ -87,10 +89,14 @@
   /** The store as one caller reaches it. */
   connect(caller: string): RowStore & { readonly calls: number } {
     let calls = 0;
-    const enter = async (): Promise<void> => {
+    const enter = async (signal?: AbortSignal): Promise<void> => {
       calls += 1;
       this.#calls += 1;
       await delay(ANSWER_MILLISECONDS);
+      if (this.#condition.kind === 'silent') {
+        await delay(this.#condition.failsAfterMilliseconds, signal);
+        throw new PlatformUnavailableError('the store does not answer', true);
+      }
       if (this.#condition.kind === 'down' || this.#refusedCallers.has(caller)) {
         throw new PlatformUnavailableError('the store is down', false);
       }
@@ -104,7 +110,7 @@
         return this.#snapshot(table);
       },
       waitForChanges: async (table, afterVersion, waitMilliseconds, signal) => {
-        await enter();
+        await enter(signal);
         const changes = await (this.#silentCallers.has(caller)
           ? this.#neverAnswer(signal)
           : this.#waitForChanges(table, afterVersion, waitMilliseconds, signal));
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -47,6 +47,7 @@
   #source: ChangeSource = 'feed';
   /** Whether the feed is to be asked once, whatever the source. */
   #isRefreshDue = false;
+  #isRefreshing = false;
   /** Whether the whole table is to be read once more. */
   #isReloadDue = false;
   #wake: () => void = () => undefined;
@@ -106,7 +107,8 @@
     }
     const now = performance.now();
     this.#behindSince ??= now;
-    if (now - this.#behindSince > ARRIVAL_MILLISECONDS) {
+    // A refresh that is under way shows whether the store answers: given up early, it would never count as failed.
+    if (!this.#isRefreshing && now - this.#behindSince > ARRIVAL_MILLISECONDS) {
       this.#behindSince = undefined;
       this.#logger.log('info', 'table-behind', {
         table: this.#options.table,
@@ -187,7 +189,13 @@
     this.#isRefreshDue = false;
     const after = this.#version;
     this.#wait = new AbortController();
-    const changes = await this.#store.waitForChanges(table, after, wait, this.#wait.signal);
+    this.#isRefreshing = wait === 0;
+    let changes: TableChanges;
+    try {
+      changes = await this.#store.waitForChanges(table, after, wait, this.#wait.signal);
+    } finally {
+      this.#isRefreshing = false;
+    }
     this.#wait = undefined;
     switch (changes.kind) {
       case 'history-lost':
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -3,12 +3,19 @@
 import { silentLogger } from '@hickoryhoist/base/common/logger.js';
 import { MemoryRowStore } from '@hickoryhoist/standIns/common/emulator/memoryRowStore.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import { observeRowStore } from '../observedRowStore.js';
+import { StoreHealth } from '../storeHealth.js';
 import { TableWatcher } from '../tableWatcher.js';
 
 const TABLE = 'control';
 
 async function withWatcher(
-  test: (store: MemoryRowStore, watcher: TableWatcher, clock: FakeTimers.Clock) => Promise<void>,
+  test: (
+    store: MemoryRowStore,
+    watcher: TableWatcher,
+    clock: FakeTimers.Clock,
+    health: StoreHealth,
+  ) => Promise<void>,
 ): Promise<void> {
   const clock = FakeTimers.install({
     now: 0,
@@ -16,10 +23,11 @@
   });
   const store = new MemoryRowStore();
   const options = { table: TABLE, waitMilliseconds: 10_000, pauseMilliseconds: 10 };
-  const watcher = new TableWatcher(store.connect('vm'), options, silentLogger);
+  const health = new StoreHealth(silentLogger);
+  const watcher = new TableWatcher(observeRowStore(store.connect('vm'), health), options, silentLogger);
   try {
     await clock.tickAsync(50);
-    await test(store, watcher, clock);
+    await test(store, watcher, clock, health);
   } finally {
     watcher.dispose();
     clock.uninstall();
@@ -118,6 +126,22 @@
     });
   });
 
+  it('gives the store time to answer, or to fail, however often others tell of changes', async () => {
+    await withWatcher(async (store, watcher, clock, health) => {
+      watcher.follow('relay');
+      await clock.tickAsync(11_000);
+      store.setCondition({ kind: 'silent', failsAfterMilliseconds: 1_200 });
+      const { calls } = store;
+      for (let elapsed = 0; elapsed < 6_000; elapsed += 200) {
+        watcher.expectVersion(1_000);
+        await clock.tickAsync(200);
+      }
+      const most = 6_000 / 1_200;
+      assert.ok(store.calls - calls <= most, `${(store.calls - calls).toString()} calls`);
+      assert.is(health.isReachable, false);
+    });
+  });
+
   it('follows the feed again when nobody passes changes on', async () => {
     await withWatcher(async (store, watcher, clock) => {
       watcher.follow('relay');
