--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -29,6 +29,8 @@
   isHandingOver(service: string, key: number): boolean;
   /** Whether the owner of a key is so new that it may not have been granted the key yet. */
   hasNewOwner(service: string, key: number): boolean;
+  /** Whether changes of owners reach this process at present. */
+  isToldOfOwners(): boolean;
   /** Connections that this process may keep open to one server of a service without a request. */
   mostIdleConnections(service: string): number;
   /** Fires when keys may have changed hands. */
@@ -210,6 +212,9 @@
         await this.#knowledge.pause(LOOK_UP_PAUSE_MILLISECONDS);
         return true;
       case 'next-owner': {
+        if (!this.#knowledge.isToldOfOwners()) {
+          return false;
+        }
         // The server that gives a key up finishes what runs on it first, which takes about as long as a request.
         const until = Math.max(performance.now() + HAND_OVER_MILLISECONDS, request.goalAt);
         await this.#pauseWhile(request, until, () => this.#owner(request) === serverId);
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -110,6 +110,7 @@
     ownerOf: () => undefined,
     isHandingOver: () => false,
     hasNewOwner: () => false,
+    isToldOfOwners: () => true,
     mostIdleConnections: () => 4,
     onDidChangeOwners: () => toDisposable(() => undefined),
     pause: () => Promise.resolve(),
@@ -288,6 +289,20 @@
     assert.equal(asked, ['server-1', 'server-1']);
   });
 
+  it('is refused at once by an entry VM that is not told of owners', async () => {
+    let pauses = 0;
+    const [first] = await play([requestOf('idempotent', keyed)], [misdirected], {
+      ownerOf: () => 'server-0',
+      isToldOfOwners: () => false,
+      pause: () => {
+        pauses += 1;
+        return Promise.resolve();
+      },
+    });
+    assert.is(first?.outcome.kind === 'not-run' && first.outcome.reason, 'no-owner');
+    assert.is(pauses, 0);
+  });
+
   it('is told as not run, with one attempt, when no other owner comes in time', async () => {
     const goalAt = performance.now() + 30;
     const [first] = await play(
--- a/packages/entryVm/src/common/keyControl.ts
+++ b/packages/entryVm/src/common/keyControl.ts
@@ -144,6 +144,11 @@
     return this.#keyedServices().every((service) => this.owners.assignmentOf(service) !== undefined);
   }
 
+  /** Whether changes of owners reach this process, from the assigner or from the store. */
+  get isToldOfOwners(): boolean {
+    return this.isAssigner || this.#options.health.isReachable || !this.#isAssignerSilent();
+  }
+
   recordRequest(service: string, key: number): void {
     const keys = (this.#recentKeys[service] ??= []);
     if (keys.length < KEYS_PER_REPORT) {
@@ -212,7 +217,7 @@
         this.#sendHeartbeats(won.term, now);
       }
     }
-    const isAlone = !this.isAssigner && now - this.#heartbeatAt > PROBE_AFTER_MILLISECONDS;
+    const isAlone = !this.isAssigner && this.#isAssignerSilent();
     if (this.#options.controlRows.isLoaded && (isAlone || !this.#options.health.isReachable)) {
       this.#probeStore();
     }
@@ -222,6 +227,10 @@
     }
   }
 
+  #isAssignerSilent(): boolean {
+    return performance.now() - this.#heartbeatAt > PROBE_AFTER_MILLISECONDS;
+  }
+
   /** Finds out whether this process reaches a store that the assigner does not reach. */
   #probeStore(): void {
     const { store, logger } = this.#options;
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -151,6 +151,7 @@
         ownerOf: (service, key) => this.#keys.owners.ownerOf(service, key),
         isHandingOver: (service, key) => this.#isHandingOver(service, key),
         hasNewOwner: (service, key) => this.#keys.owners.hasNewOwner(service, key),
+        isToldOfOwners: () => this.#keys.isToldOfOwners,
         mostIdleConnections: (service) => this.#mostIdleConnections(service),
         onDidChangeOwners: this.#keys.owners.onDidChange,
         pause: delay,
