Let a refresh end before changes that are passed on ask for another one

Cause: changes that leave a gap made an entry VM ask the feed anew and give up the call that was under way.

Ruled out: waits that are not answered (the store answered others), lost history (not logged there).

Test: a table catches up with one call while others pass on changes that leave a gap (never did).

--- a/packages/standIns/src/common/emulator/memoryRowStore.ts
+++ b/packages/standIns/src/common/emulator/memoryRowStore.ts
@@ -18,6 +18,8 @@
 export type StoreCondition =
   | { readonly kind: 'working' }
   | { readonly kind: 'down' }
+  /** Answers take longer than usual. */
+  | { readonly kind: 'slow'; readonly answerMilliseconds: number }
   /** Calls are not answered, and fail after a time. */
   | { readonly kind: 'silent'; readonly failsAfterMilliseconds: number }
   /** Writes are done after a time, and not answered. */
@@ -93,6 +95,9 @@
       calls += 1;
       this.#calls += 1;
       await delay(ANSWER_MILLISECONDS);
+      if (this.#condition.kind === 'slow') {
+        await delay(this.#condition.answerMilliseconds, signal);
+      }
       if (this.#condition.kind === 'silent') {
         await delay(this.#condition.failsAfterMilliseconds, signal);
         throw new PlatformUnavailableError('the store does not answer', true);
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -107,15 +107,14 @@
     }
     const now = performance.now();
     this.#behindSince ??= now;
-    // A refresh that is under way shows whether the store answers: given up early, it would never count as failed.
-    if (!this.#isRefreshing && now - this.#behindSince > ARRIVAL_MILLISECONDS) {
+    if (now - this.#behindSince > ARRIVAL_MILLISECONDS && !this.#isRefreshing) {
       this.#behindSince = undefined;
       this.#logger.log('info', 'table-behind', {
         table: this.#options.table,
         version: this.#version,
         expected: this.#expectedVersion,
       });
-      this.restart();
+      this.#refresh();
     }
   }
 
@@ -146,12 +145,22 @@
       return;
     }
     if (after > this.#version) {
-      this.restart();
+      this.#refresh();
       return;
     }
     this.#apply(changes);
   }
 
+  /**
+   * Asks the feed, unless that is under way. A call that is given up early shows nothing: neither what it would have
+   * brought nor that the store does not answer.
+   */
+  #refresh(): void {
+    if (!this.#isRefreshing) {
+      this.restart();
+    }
+  }
+
   async #run(isStopped: () => boolean): Promise<void> {
     while (!isStopped()) {
       try {
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -142,6 +142,31 @@
     });
   });
 
+  it('catches up over a slow connection while others pass changes on that leave a gap', async () => {
+    await withWatcher(async (store, watcher, clock) => {
+      watcher.follow('relay');
+      await clock.tickAsync(11_000);
+      for (let write = 0; write < 20; write += 1) {
+        store.put(TABLE, 'a', write.toString());
+      }
+      store.setCondition({ kind: 'slow', answerMilliseconds: 200 });
+      const { calls } = store;
+      const version = store.row(TABLE, 'a')?.version ?? 0;
+      for (let elapsed = 0; elapsed < 300; elapsed += 50) {
+        watcher.takeRelayed(version - 1, {
+          kind: 'changes',
+          rows: [],
+          deletedKeys: [],
+          newestChange: 0,
+          version,
+        });
+        await clock.tickAsync(50);
+      }
+      assert.is(watcher.rows.get('a')?.value, '19');
+      assert.is(store.calls - calls, 1);
+    });
+  });
+
   it('follows the feed again when nobody passes changes on', async () => {
     await withWatcher(async (store, watcher, clock) => {
       watcher.follow('relay');
