Ask a coordinator again as soon as it has answered

Cause: a coordinator whose processor share was used up, for at most the rest of a tenth of a second, was passed over for 1.5 s, by each entry VM for itself. Meanwhile two coordinators handed out the slots of its servers, and the second one knew nothing of their load.

Change: any answer of a coordinator, a late one too, ends the time for which it is passed over.

Test: a coordinator that is late once by 150 ms is asked for the next slot (another one was before).

--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -133,6 +133,7 @@
         this.#coordinator.receiveFinish(message.id, message.use);
         return true;
       case 'waiting': {
+        this.#choice.recordAnswer(ipAddress);
         const pending = this.#pending.get(message.id);
         if (pending !== undefined) {
           pending.asked = 0;
@@ -141,9 +142,11 @@
         return true;
       }
       case 'granted':
+        this.#choice.recordAnswer(ipAddress);
         this.#receiveGrant(ipAddress, message.id, message.serverId);
         return true;
       case 'refused':
+        this.#choice.recordAnswer(ipAddress);
         this.#receiveRefusal(message);
         return true;
       case 'heartbeat':
@@ -247,9 +250,8 @@
 
   /** Turns to the next coordinator. */
   #passOver(pending: PendingAsk, reason: PassOverReason): void {
-    const { id, ipAddress } = pending.coordinator;
-    this.#choice.passOver(id, reason);
-    this.#options.send(ipAddress, { type: 'finish', id: pending.id, use: 'cancelled' });
+    this.#choice.passOver(pending.coordinator, reason);
+    this.#options.send(pending.coordinator.ipAddress, { type: 'finish', id: pending.id, use: 'cancelled' });
     clearTimeout(pending.timer);
     pending.asked = 0;
     pending.passed += 1;
--- a/packages/entryVm/src/common/coordinatorChoice.ts
+++ b/packages/entryVm/src/common/coordinatorChoice.ts
@@ -20,6 +20,7 @@
   readonly #self: CoordinatorVm;
   readonly #entryVms: () => readonly CoordinatorVm[];
   readonly #logger: Logger;
+  /** Times until which entry VMs are passed over, by address. */
   readonly #suspectedUntil = new Map<string, number>();
   /** Entry VMs in order of preference by subject, kept until the set of entry VMs changes. */
   readonly #ranked = new Map<string, readonly CoordinatorVm[]>();
@@ -42,16 +43,21 @@
   choose(subject: string): CoordinatorVm {
     const now = performance.now();
     const ranked = this.#rankedFor(subject);
-    return ranked.find(({ id }) => (this.#suspectedUntil.get(id) ?? 0) <= now) ?? this.#self;
+    return ranked.find(({ ipAddress }) => (this.#suspectedUntil.get(ipAddress) ?? 0) <= now) ?? this.#self;
   }
 
   /** Has an entry VM passed over for some time. */
-  passOver(id: string, reason: PassOverReason): void {
+  passOver({ id, ipAddress }: CoordinatorVm, reason: PassOverReason): void {
     const now = performance.now();
-    if ((this.#suspectedUntil.get(id) ?? 0) < now) {
+    if ((this.#suspectedUntil.get(ipAddress) ?? 0) < now) {
       this.#logger.log('info', 'coordinator-passed-over', { coordinator: id, reason });
     }
-    this.#suspectedUntil.set(id, now + SUSPICION_MILLISECONDS);
+    this.#suspectedUntil.set(ipAddress, now + SUSPICION_MILLISECONDS);
+  }
+
+  /** Takes notice of an answer: an entry VM that is only late is asked again, so that servers keep one coordinator. */
+  recordAnswer(ipAddress: string): void {
+    this.#suspectedUntil.delete(ipAddress);
   }
 
   #rankedFor(subject: string): readonly CoordinatorVm[] {
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -21,6 +21,8 @@
   readonly silent = new Set<string>();
   /** Entry VMs whose process is late: it reads what has arrived only after its timers have run. */
   readonly late = new Set<string>();
+  /** Milliseconds by which messages to an entry VM are late. */
+  readonly delays = new Map<string, number>();
   readonly events: string[] = [];
   /** Which copy of each message gets lost: every n-th one. */
   losesEvery = Number.POSITIVE_INFINITY;
@@ -89,18 +91,21 @@
     if (this.#messages % this.losesEvery === 0) {
       return;
     }
-    setTimeout(() => {
-      if (!this.silent.has(from) && !this.silent.has(to)) {
-        const receive = (): void => {
-          this.vms.get(to)?.receive(from, message);
-        };
-        if (this.late.has(to)) {
-          setImmediate(receive);
-        } else {
-          receive();
+    setTimeout(
+      () => {
+        if (!this.silent.has(from) && !this.silent.has(to)) {
+          const receive = (): void => {
+            this.vms.get(to)?.receive(from, message);
+          };
+          if (this.late.has(to)) {
+            setImmediate(receive);
+          } else {
+            receive();
+          }
         }
-      }
-    }, 1);
+      },
+      1 + (this.delays.get(to) ?? 0),
+    );
   }
 }
 
@@ -189,6 +194,26 @@
     });
   });
 
+  it('are asked of a coordinator again as soon as it has answered, however late', async () => {
+    await withRig(3, async (rig) => {
+      const coordinatorOf = async (vm: string): Promise<string | undefined> => {
+        const seen = watch([rig.acquire(vm)]);
+        await rig.clock.tickAsync(100);
+        const [granted] = seen.granted;
+        finish(granted);
+        return granted?.kind === 'granted' ? granted.slot.coordinatorId : undefined;
+      };
+      const usual = await coordinatorOf('vm-0');
+      assert.ok(usual);
+      const asker = [...rig.vms.keys()].find((id) => id !== usual) ?? '';
+      rig.delays.set(usual, 150);
+      assert.is.not(await coordinatorOf(asker), usual);
+      rig.delays.clear();
+      await rig.clock.tickAsync(200);
+      assert.is(await coordinatorOf(asker), usual);
+    });
+  });
+
   it('are withdrawn when the caller leaves', async () => {
     await withRig(3, async (rig) => {
       const held = watch(Array.from({ length: PLACES }, () => rig.acquire('vm-0')));
