--- a/packages/entryVm/src/node/boundedLogger.ts
+++ b/packages/entryVm/src/node/boundedLogger.ts
@@ -1,4 +1,4 @@
-import { SonicBoom } from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import {
   formatLogLine,
@@ -23,7 +23,7 @@
  * Logger whose volume is bounded and which never waits for its reader. What was dropped is counted and said.
  */
 export class BoundedLogger extends DisposableBase implements Logger {
-  readonly #output = new SonicBoom({
+  readonly #output = new sonicBoom.SonicBoom({
     fd: STANDARD_OUTPUT,
     sync: false,
     minLength: WRITE_BYTES,
