--- a/packages/entryVm/src/common/platformBinding.ts
+++ b/packages/entryVm/src/common/platformBinding.ts
@@ -7,7 +7,7 @@
 
 /** Everything that an entry VM needs from the platform that it runs on. */
 export interface PlatformBinding {
-  readonly store: RowStore & { readonly calls: number };
+  readonly store: RowStore;
   readonly grants: KeyGrantClient;
   readonly serverDialect: ServerDialect;
   readonly callerDialect: CallerDialect;
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -56,7 +56,8 @@
   readonly #settings: EntryVmSettings;
   readonly #binding: PlatformBinding;
   readonly #logger: Logger;
-  readonly #metrics = new EntryVmMetrics();
+  /** Served on the metrics address. */
+  readonly metrics = new EntryVmMetrics();
   readonly #health: StoreHealth;
   readonly #configurationRows: TableWatcher;
   readonly #serverRows: TableWatcher;
@@ -73,6 +74,7 @@
   readonly #metricsServer: Server;
   #routes: RouteTable | undefined;
   #isStopping = false;
+  #tickDueAt = performance.now() + TICK_MILLISECONDS;
 
   constructor(settings: EntryVmSettings, binding: PlatformBinding, logger: Logger) {
     super();
@@ -82,7 +84,9 @@
     const { id, ipAddress, processorCores } = settings;
     const self = { id, ipAddress, processorCores, incarnation: randomUUID().slice(0, 8) };
     this.#health = new StoreHealth(logger);
-    const store = observeRowStore(binding.store, this.#health);
+    const store = observeRowStore(binding.store, this.#health, (kind, outcome) => {
+      this.metrics.count('hickoryhoist_store_calls_total', { kind, outcome });
+    });
     const watch = (table: string, pauseMilliseconds: number): TableWatcher =>
       this.register(
         new TableWatcher(
@@ -175,7 +179,7 @@
       path === binding.callerDialect.readyPath ? { status: this.isReady ? 200 : 503, text: '' } : undefined,
     );
     this.#metricsServer = this.#answeringServer((path) =>
-      path === '/metrics' ? { status: 200, text: this.#metrics.page() } : undefined,
+      path === '/metrics' ? { status: 200, text: this.metrics.page() } : undefined,
     );
     this.#connectTasks();
   }
@@ -264,19 +268,22 @@
         clearInterval(timer);
       }),
     );
-    this.#metrics.gauge('hickoryhoist_store_calls', () => this.#binding.store.calls);
-    this.#metrics.gauge('hickoryhoist_store_reachable', () => Number(this.#health.isReachable));
-    this.#metrics.gauge('hickoryhoist_requests_in_flight', () => this.#callers.inFlight);
-    this.#metrics.gauge('hickoryhoist_slots_waiting', () => this.#slots.waiting);
-    this.#metrics.gauge('hickoryhoist_server_connections_opened', () => this.#connections.opened);
-    this.#metrics.gauge(
+    this.metrics.gauge('hickoryhoist_store_reachable', () => Number(this.#health.isReachable));
+    this.metrics.gauge('hickoryhoist_requests_in_flight', () => this.#callers.inFlight);
+    this.metrics.gauge('hickoryhoist_slots_waiting', () => this.#slots.waiting);
+    this.metrics.gauge('hickoryhoist_server_connections_opened', () => this.#connections.opened);
+    this.metrics.gauge(
       'hickoryhoist_configuration_revision',
       () => this.#routes?.configuration.revision ?? 0,
     );
-    this.#metrics.gauge('hickoryhoist_is_assigner', () => Number(this.#keys.isAssigner));
+    this.metrics.gauge('hickoryhoist_is_assigner', () => Number(this.#keys.isAssigner));
   }
 
   #tick(): void {
+    const now = performance.now();
+    const lateness = Math.max(0, now - this.#tickDueAt);
+    this.#tickDueAt = now + TICK_MILLISECONDS;
+    this.metrics.recordMilliseconds('hickoryhoist_event_loop_delay_milliseconds', {}, lateness);
     if (this.#registry.keepsMissing && this.#registry.mayBelieveMissing) {
       this.#registry.update(this.#serverRows.rows);
     }
@@ -348,8 +355,8 @@
       ended.outcome === undefined || ended.outcome.kind === 'answered' ? undefined : ended.outcome.reason;
     const service = ended.match?.service.name ?? '';
     const kind = ended.match?.route.kind ?? '';
-    this.#metrics.count('hickoryhoist_requests_total', { service, kind, outcome, reason: reason ?? '' });
-    this.#metrics.recordMilliseconds(
+    this.metrics.count('hickoryhoist_requests_total', { service, kind, outcome, reason: reason ?? '' });
+    this.metrics.recordMilliseconds(
       'hickoryhoist_request_milliseconds',
       { service, outcome },
       ended.milliseconds,
