Ask for no slot once a caller has left during a hand-over

The wait for the next owner of a key ended when the caller left, and the request then asked for a slot all the same. Test: no slot is asked for (one was).

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -134,6 +134,9 @@
       const until = performance.now() + HAND_OVER_MILLISECONDS;
       await this.#pauseWhile(request, until, () => this.#knowledge.isHandingOver(service, key));
     }
+    if (request.signal.aborted) {
+      return notRun('no-owner', NO_SERVER_RETURN_MILLISECONDS);
+    }
     const owner = request.isKeyed ? this.#owner(request) : undefined;
     if (request.isKeyed && owner === undefined) {
       return notRun('no-owner', NO_SERVER_RETURN_MILLISECONDS);
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -315,6 +315,39 @@
   });
 });
 
+describe('a request whose caller leaves while its key is handed over', () => {
+  it('does not ask for a slot any more', async () => {
+    const caller = new AbortController();
+    let asked = 0;
+    const slots = {
+      acquire: (): Promise<SlotResult> => {
+        asked += 1;
+        return Promise.resolve({
+          kind: 'refused',
+          refusal: 'overloaded',
+          retryAfterMilliseconds: 0,
+          coordinatorId: 'vm-1',
+          basis: undefined,
+        });
+      },
+    };
+    const outcome = await playOne(
+      requestOf('idempotent', { isKeyed: true, key: 5, signal: caller.signal }),
+      slots,
+      {
+        ownerOf: () => 'server-1',
+        isHandingOver: () => true,
+        pause: () => {
+          caller.abort();
+          return Promise.resolve();
+        },
+      },
+    );
+    assert.is(outcome.kind, 'not-run');
+    assert.is(asked, 0);
+  });
+});
+
 describe('a request that crashes servers', () => {
   it('is refused as not run after two servers', async () => {
     const requests = Array.from({ length: 5 }, () => requestOf('at-most-once'));
