--- a/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
+++ b/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
@@ -52,6 +52,12 @@
   'steady, 60 % load': look,
   'steady, 75 % load': { ...look, requestsPerSecond: 400 },
   'steady, 90 % load': { ...look, requestsPerSecond: 480 },
+  'steady, 60 % load, 136 servers with 4 slots': {
+    ...look,
+    servers: 136,
+    slots: 4,
+    requestsPerSecond: 1_300,
+  },
   'crowds, 75 % load': {
     ...look,
     requestsPerSecond: 400,
@@ -71,6 +77,8 @@
   readonly late: number;
   readonly refused: number;
   readonly movesPerSecond: number;
+  /** Ranges for each server at the end. */
+  readonly rangesPerServer: number;
 }
 
 /** Speeds of servers relative to their mean. */
@@ -167,6 +175,7 @@
       inTime: inTime / offered,
       late: late / offered,
       refused: refused / offered,
+      rangesPerServer: this.#ranges.length / servers,
       movesPerSecond: (this.#moves * 1_000) / durationMilliseconds,
     };
   }
--- a/packages/standIns/src/node/keyBalanceExperimentMain.ts
+++ b/packages/standIns/src/node/keyBalanceExperimentMain.ts
@@ -20,5 +20,9 @@
   const late = percent(mean(results, (result) => result.late));
   const refused = percent(mean(results, (result) => result.refused));
   const moves = mean(results, (result) => result.movesPerSecond).toFixed(1);
-  process.stdout.write(`${name}: in time ${inTime}, late ${late}, refused ${refused}, ${moves} moves/s\n`);
+  const ranges = mean(results, (result) => result.rangesPerServer).toFixed(1);
+  process.stdout.write(
+    `${name}: in time ${inTime}, late ${late}, refused ${refused}, ` +
+      `${moves} moves/s, ${ranges} ranges a server\n`,
+  );
 }
