Tell a server's time by its coordinator only

Cause: an entry VM that stands in for a silent coordinator reported the server's time after a request or two, or the time that any server starts with, and the assigner took whichever report came last.

Change: only the first entry VM in rendezvous order reports a server.

Test: after one request by a stand-in, the usual coordinator alone tells the server's time (both did).

--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -74,9 +74,20 @@
     this.#coordinator.setServers(service, servers);
   }
 
-  /** Time that a request takes, for the servers that are coordinated here. */
+  /**
+   * Time that a request takes, for the servers that are coordinated here. An entry VM that stood in for a coordinator
+   * for a moment has seen too few requests.
+   */
   serverMilliseconds(): Readonly<Record<string, number>> {
-    return this.#coordinator.serverMilliseconds();
+    const own: Record<string, number> = {};
+    for (const [service, times] of this.#coordinator.serverMilliseconds()) {
+      for (const [serverId, milliseconds] of Object.entries(times)) {
+        if (this.#choice.isFirst(subjectOf(service, serverId))) {
+          own[serverId] = milliseconds;
+        }
+      }
+    }
+    return own;
   }
 
   /** Refuses to coordinate from now on. */
@@ -261,7 +272,7 @@
   }
 
   #chooseCoordinator({ service, wish }: PendingAsk): CoordinatorVm {
-    return this.#choice.choose(`${service} ${wish.serverId ?? ''}`);
+    return this.#choice.choose(subjectOf(service, wish.serverId));
   }
 
   #slot(pending: PendingAsk, serverId: string): Slot {
@@ -291,3 +302,8 @@
     pending.resolve(result);
   }
 }
+
+/** What one entry VM coordinates: a server whose keys are owned, or all servers of another service. */
+function subjectOf(service: string, serverId: string | undefined): string {
+  return `${service} ${serverId ?? ''}`;
+}
--- a/packages/entryVm/src/common/coordinatorChoice.ts
+++ b/packages/entryVm/src/common/coordinatorChoice.ts
@@ -46,6 +46,11 @@
     return ranked.find(({ ipAddress }) => (this.#suspectedUntil.get(ipAddress) ?? 0) <= now) ?? this.#self;
   }
 
+  /** Whether this entry VM is the one for a subject when nobody is suspected. */
+  isFirst(subject: string): boolean {
+    return this.#rankedFor(subject)[0]?.id === this.#self.id;
+  }
+
   /** Has an entry VM passed over for some time. */
   passOver({ id, ipAddress }: CoordinatorVm, reason: PassOverReason): void {
     const now = performance.now();
--- a/packages/entryVm/src/common/slotCoordinator.ts
+++ b/packages/entryVm/src/common/slotCoordinator.ts
@@ -63,13 +63,12 @@
     this.#deliver(service, this.#scheduler(service).setServers(servers, performance.now()));
   }
 
-  /** Time that a request takes, for the servers that have answered one. */
-  serverMilliseconds(): Readonly<Record<string, number>> {
-    const times: Record<string, number> = {};
-    for (const scheduler of this.#schedulers.values()) {
-      Object.assign(times, scheduler.learnedMilliseconds(performance.now()));
-    }
-    return times;
+  /** Time that a request takes, for the servers that have answered one, by service. */
+  serverMilliseconds(): ReadonlyMap<string, Readonly<Record<string, number>>> {
+    const now = performance.now();
+    return new Map(
+      [...this.#schedulers].map(([service, scheduler]) => [service, scheduler.learnedMilliseconds(now)]),
+    );
   }
 
   /** Refuses asks of others from now on. */
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -214,6 +214,30 @@
     });
   });
 
+  it('tell the time of a server by its coordinator only, not by one that stood in for it', async () => {
+    await withRig(3, async (rig) => {
+      const askOnce = async (vm: string): Promise<string | undefined> => {
+        const seen = watch([rig.acquire(vm, { serverId: 'server-1' })]);
+        await rig.clock.tickAsync(150);
+        const [granted] = seen.granted;
+        finish(granted);
+        await rig.clock.tickAsync(10);
+        return granted?.kind === 'granted' ? granted.slot.coordinatorId : undefined;
+      };
+      const usual = await askOnce('vm-0');
+      assert.ok(usual);
+      const asker = [...rig.vms.keys()].find((id) => id !== usual) ?? '';
+      rig.silent.add(usual);
+      const substitute = await askOnce(asker);
+      assert.is.not(substitute, usual);
+      const telling = [...rig.vms].filter(([, slots]) => 'server-1' in slots.serverMilliseconds());
+      assert.equal(
+        telling.map(([id]) => id),
+        [usual],
+      );
+    });
+  });
+
   it('are withdrawn when the caller leaves', async () => {
     await withRig(3, async (rig) => {
       const held = watch(Array.from({ length: PLACES }, () => rig.acquire('vm-0')));
