Cut the keys of a lost server into few ranges

Cause: keys without an owner were divided among all servers that have less than their share of keys, which with one of 136 servers gone is all of them: each range of a lost server became up to 135.

Ruled out: moves (two ranges more each at the most), joining that does not keep up (3 a second).

Change: keys without an owner go to as many servers as there are gaps, and two more. At the start they go to all.

--- a/packages/keyOwnership/src/common/keyPlanner.ts
+++ b/packages/keyOwnership/src/common/keyPlanner.ts
@@ -47,7 +47,13 @@
 /** Share of keys that a move without load may take, to give a server without keys its first ones. */
 const FIRST_SHARE = 0.5;
 
-/** Splits all keys that have no owner among servers, in proportion to their speed. */
+/** Servers that keys without an owner go to, beyond one for each gap that they make. */
+const MORE_RECEIVERS = 2;
+
+/**
+ * Splits all keys that have no owner among servers: at first among all, in proportion to their speed; later among the
+ * few that lack keys most, since ranges cut small stay many, and the load is evened out by moves.
+ */
 export function planInitial(
   ranges: readonly OwnedRange[],
   servers: readonly PlannedServer[],
@@ -67,7 +73,11 @@
     owner,
     lack: Math.max(0, ((keys + ownedBySet) * owner.requestsPerSecond) / total - (owned.get(owner.id) ?? 0)),
   }));
-  return divide(gaps, lacks);
+  const receivers =
+    ranges.length === 0
+      ? lacks
+      : [...lacks].sort((left, right) => right.lack - left.lack).slice(0, gaps.length + MORE_RECEIVERS);
+  return divide(gaps, receivers);
 }
 
 /** Cuts gaps into pieces in proportion to what each server lacks. */
--- a/packages/keyOwnership/src/common/test/keyPlanner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyPlanner.test.ts
@@ -167,3 +167,29 @@
     assert.is(new Set(moved.map(({ ownerId }) => ownerId)).size, 6);
   });
 });
+
+describe('keys without an owner', () => {
+  it('are cut into few ranges when one of many servers is lost', () => {
+    const servers = serversOf(60);
+    const [lost, ...left] = evenRanges(servers);
+    const pieces = planInitial(
+      left,
+      servers.filter(({ id }) => id !== lost?.ownerId),
+    );
+    assert.ok(pieces.length <= 4, `${pieces.length.toString()} ranges`);
+    assert.is(new Set(pieces.map(({ owner }) => owner.id)).size, pieces.length);
+    assert.is(
+      pieces.reduce((sum, { from, to }) => sum + to - from + 1, 0),
+      (lost?.to ?? 0) - (lost?.from ?? 0) + 1,
+    );
+  });
+
+  it('go to many servers when many servers are lost', () => {
+    const servers = serversOf(60);
+    const lostIds = servers.slice(0, 20).map(({ id }) => id);
+    const left = evenRanges(servers).filter(({ ownerId }) => !lostIds.includes(ownerId));
+    const pieces = planInitial(left, servers.slice(20));
+    assert.ok(new Set(pieces.map(({ owner }) => owner.id)).size >= 20);
+    assert.ok(pieces.length <= 60, `${pieces.length.toString()} ranges`);
+  });
+});
