Draw the time of a little known server to the mean of its service

Cause: each coordinator starts with 100 ms for any server and learns from its own one or two servers only, so after a start or a change of coordinators the planner took servers of 300 ms for three times as fast as they are until they had been asked some times, and a single long request made one ten times slower.

--- a/packages/dispatch/src/common/serverLoad.ts
+++ b/packages/dispatch/src/common/serverLoad.ts
@@ -1,7 +1,9 @@
+import type { ServerTime } from './serverTimes.js';
+
 /** Weight of a new sample in the smoothed time of a server. */
 const SMOOTHING = 0.15;
-/** The same for the long-term time, from which keys are shared out: single requests differ by a factor of ten. */
-const LONG_TERM_SMOOTHING = 0.02;
+/** Requests that the long-term time reaches back, from which keys are shared out: they differ by a factor of ten. */
+const LONG_TERM_REQUESTS = 50;
 /** Factor between recent and long-term time beyond which the server itself has changed. */
 const CHANGE_FACTOR = 1.8;
 /** Weight of a new sample in the smoothed share of failures. */
@@ -32,7 +34,7 @@
   /** Attempts that have not ended, the oldest first. */
   readonly #attempts = new Map<string, Attempt>();
   #smoothedMilliseconds: number;
-  #longTermMilliseconds: number;
+  #longTermMilliseconds = 0;
   #learned = 0;
   #failureShare = 0;
   #avoidUntil = 0;
@@ -52,7 +54,6 @@
     this.availabilityZone = availabilityZone;
     this.slots = slots;
     this.#smoothedMilliseconds = typicalMilliseconds;
-    this.#longTermMilliseconds = typicalMilliseconds;
     this.#coldUntil = coldUntil;
   }
 
@@ -61,18 +62,17 @@
     return this.#attempts.size;
   }
 
-  get hasAnswered(): boolean {
-    return this.#lastAnsweredAt > 0;
-  }
-
   /** Time that a request takes at this server once it has left the queue, in milliseconds. */
   expectedMilliseconds(now: number): number {
     return this.#smoothedMilliseconds * (now < this.#coldUntil ? COLD_FACTOR : 1);
   }
 
-  /** Time that a request takes on average over some dozens of requests, in milliseconds. */
-  longTermMilliseconds(now: number): number {
-    return this.#longTermMilliseconds * (now < this.#coldUntil ? COLD_FACTOR : 1);
+  /** Time that a request takes on average over some dozens of requests; undefined before the first answer. */
+  longTermTime(now: number): ServerTime | undefined {
+    const factor = now < this.#coldUntil ? COLD_FACTOR : 1;
+    return this.#learned === 0
+      ? undefined
+      : { milliseconds: this.#longTermMilliseconds * factor, requests: this.#learned };
   }
 
   /** Expected time weighted by how often the server fails. */
@@ -150,9 +150,8 @@
 
   #learn(milliseconds: number): void {
     this.#smoothedMilliseconds += SMOOTHING * (milliseconds - this.#smoothedMilliseconds);
-    this.#learned += 1;
-    const weight = Math.max(1 / (this.#learned + 1), LONG_TERM_SMOOTHING);
-    this.#longTermMilliseconds += weight * (milliseconds - this.#longTermMilliseconds);
+    this.#learned = Math.min(this.#learned + 1, LONG_TERM_REQUESTS);
+    this.#longTermMilliseconds += (milliseconds - this.#longTermMilliseconds) / this.#learned;
     const change = this.#smoothedMilliseconds / this.#longTermMilliseconds;
     if (change > CHANGE_FACTOR || change < 1 / CHANGE_FACTOR) {
       this.#longTermMilliseconds = this.#smoothedMilliseconds;
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -1,4 +1,5 @@
 import { ServerLoad, type SlotUse } from './serverLoad.js';
+import type { ServerTime } from './serverTimes.js';
 
 /** Requests that a server gets beyond its slots, so that it does not idle while the next one is on its way. */
 const AHEAD_PER_SERVER = 1;
@@ -91,10 +92,14 @@
     return this.#grants.size;
   }
 
-  /** Time that a request takes at each server that has answered one, in milliseconds. */
-  learnedMilliseconds(now: number): Readonly<Record<string, number>> {
-    const learned = [...this.#loads.values()].filter(({ load }) => load.hasAnswered);
-    return Object.fromEntries(learned.map(({ load }) => [load.id, load.longTermMilliseconds(now)]));
+  /** Time that a request takes at each server that has answered one. */
+  learnedTimes(now: number): ReadonlyMap<string, ServerTime> {
+    return new Map(
+      [...this.#loads].flatMap(([id, { load }]) => {
+        const time = load.longTermTime(now);
+        return time === undefined ? [] : [[id, time]];
+      }),
+    );
   }
 
   /** Replaces the set of servers; what is known of servers that stay is kept. */
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -85,7 +85,7 @@
           running.push({ id: next, endsAt: now + workMilliseconds });
         }
       }
-      const learned = scheduler.learnedMilliseconds(now).one ?? 0;
+      const learned = scheduler.learnedTimes(now).get('one')?.milliseconds ?? 0;
       assert.ok(Math.abs(learned - workMilliseconds) < 1, `${learned.toString()} ms`);
     });
   });
--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { SlotUse } from '@hickoryhoist/dispatch/common/serverLoad.js';
 import type { SchedulableServer } from '@hickoryhoist/dispatch/common/slotScheduler.js';
+import type { ServerTime } from '@hickoryhoist/dispatch/common/serverTimes.js';
 import type { Slot, SlotResult, SlotSource, SlotWish } from '@hickoryhoist/dispatch/common/slotSource.js';
 import { CoordinatorChoice, type CoordinatorVm, type PassOverReason } from './coordinatorChoice.js';
 import type { PeerMessage } from './peerMessage.js';
@@ -78,12 +79,12 @@
    * Time that a request takes, for the servers that are coordinated here. An entry VM that stood in for a coordinator
    * for a moment has seen too few requests.
    */
-  serverMilliseconds(): Readonly<Record<string, number>> {
-    const own: Record<string, number> = {};
-    for (const [service, times] of this.#coordinator.serverMilliseconds()) {
-      for (const [serverId, milliseconds] of Object.entries(times)) {
+  serverTimes(): ReadonlyMap<string, ServerTime> {
+    const own = new Map<string, ServerTime>();
+    for (const [service, times] of this.#coordinator.serverTimes()) {
+      for (const [serverId, time] of times) {
         if (this.#choice.isFirst(subjectOf(service, serverId))) {
-          own[serverId] = milliseconds;
+          own.set(serverId, time);
         }
       }
     }
--- a/packages/entryVm/src/common/keyControl.ts
+++ b/packages/entryVm/src/common/keyControl.ts
@@ -1,6 +1,7 @@
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { expectedServerTimes, type ServerTime } from '@hickoryhoist/dispatch/common/serverTimes.js';
 import {
   AssignerElection,
   CONFIRMATION_TABLE,
@@ -36,8 +37,6 @@
 const PROBE_MILLISECONDS = 1_000;
 /** Keys in one report at most; beyond, a part of them stands for all. */
 const KEYS_PER_REPORT = 120;
-/** Time that a request takes at a server of which nothing is known, in milliseconds. */
-const TYPICAL_MILLISECONDS = 150;
 /**
  * Ranges in a change that is told to the others by datagram, at up to 75 bytes each; they read a larger one. All moves
  * of one look at the balance, three ranges each, and the ranges joined with them fit.
@@ -58,7 +57,7 @@
   readonly registry: ServerRegistry;
   readonly roster: EntryVmRoster;
   readonly services: () => ReadonlyMap<string, RoutedService>;
-  readonly serverMilliseconds: () => Readonly<Record<string, number>>;
+  readonly serverTimes: () => ReadonlyMap<string, ServerTime>;
   readonly send: (ipAddress: string, message: PeerMessage) => void;
   readonly sendToOthers: (message: PeerMessage) => void;
   readonly logger: Logger;
@@ -71,7 +70,7 @@
   readonly #readers: StoreReaders;
   readonly #assigners = new Map<string, KeyAssigner>();
   readonly #traffic = new Map<string, KeyTrafficLog>();
-  readonly #serverMilliseconds = new Map<string, number>();
+  readonly #serverTimes = new Map<string, ServerTime>();
   readonly #firstHeardAt = new Map<string, number>();
   #recentKeys: Record<string, number[]> = {};
   /** Full reads of the control table after which this process may start to assign. */
@@ -190,7 +189,13 @@
           storeSilenceMilliseconds: message.storeSilence,
         });
         this.#readers.expectVersions(message.versions);
-        this.#takeReport(message.keys, message.serverMilliseconds);
+        this.#takeReport(
+          message.keys,
+          Object.entries(message.serverTimes).map(([id, [milliseconds, requests]]) => [
+            id,
+            { milliseconds, requests },
+          ]),
+        );
         return;
       case 'reader-heartbeat':
       case 'table-changes':
@@ -299,21 +304,19 @@
   }
 
   #candidates(service: string): ReadonlyMap<string, OwnerCandidate> {
-    const candidates = new Map<string, OwnerCandidate>();
-    for (const server of this.#options.registry.servers.values()) {
-      if (server.service === service) {
-        const milliseconds = this.#serverMilliseconds.get(server.id) ?? TYPICAL_MILLISECONDS;
-        const { id, incarnation, address, phase, slots } = server;
-        candidates.set(id, {
-          id,
-          incarnation,
-          address,
-          phase,
-          requestsPerSecond: (slots * 1_000) / milliseconds,
-        });
-      }
-    }
-    return candidates;
+    const servers = [...this.#options.registry.servers.values()].filter(
+      (server) => server.service === service,
+    );
+    const times = expectedServerTimes(
+      servers.map(({ id }) => id),
+      this.#serverTimes,
+    );
+    return new Map(
+      servers.map(({ id, incarnation, address, phase, slots }) => {
+        const milliseconds = Math.max(1, times.get(id) ?? 1);
+        return [id, { id, incarnation, address, phase, requestsPerSecond: (slots * 1_000) / milliseconds }];
+      }),
+    );
   }
 
   #sendHeartbeats(term: number, now: number): void {
@@ -341,12 +344,10 @@
   }
 
   #report(): void {
-    const { self, serverMilliseconds, send, health } = this.#options;
+    const { self, serverTimes, send, health } = this.#options;
     const keys = this.#recentKeys;
     this.#recentKeys = {};
-    const times = Object.fromEntries(
-      Object.entries(serverMilliseconds()).map(([id, value]) => [id, Math.round(value)]),
-    );
+    const times = [...serverTimes()];
     if (this.isAssigner) {
       this.#takeReport(keys, times);
     } else if (this.#assignerAddress !== undefined) {
@@ -359,18 +360,23 @@
         storeSilence: Math.round(health.silenceMilliseconds()),
         versions: this.#readers.versions(),
         keys,
-        serverMilliseconds: times,
+        serverTimes: Object.fromEntries(
+          times.map(([id, { milliseconds, requests }]) => [id, [Math.round(milliseconds), requests]]),
+        ),
       });
     }
   }
 
-  #takeReport(keys: Readonly<Record<string, number[]>>, times: Readonly<Record<string, number>>): void {
+  #takeReport(
+    keys: Readonly<Record<string, number[]>>,
+    times: Iterable<readonly [string, ServerTime]>,
+  ): void {
     const now = performance.now();
     for (const [service, list] of Object.entries(keys)) {
       this.#trafficOf(service).record(list, now);
     }
-    for (const [id, milliseconds] of Object.entries(times)) {
-      this.#serverMilliseconds.set(id, Math.max(1, milliseconds));
+    for (const [id, time] of times) {
+      this.#serverTimes.set(id, time);
     }
   }
 
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -84,8 +84,8 @@
     versions: z.record(z.string(), z.number()),
     /** Keys of recent requests by service. */
     keys: z.record(z.string(), z.array(z.number())),
-    /** Milliseconds that a request takes, by server. */
-    serverMilliseconds: z.record(z.string(), z.number()),
+    /** Milliseconds that a request takes and how many requests that was learned from, by server. */
+    serverTimes: z.record(z.string(), z.tuple([z.number(), z.number()])),
   }),
 ]);
 
--- a/packages/entryVm/src/common/slotCoordinator.ts
+++ b/packages/entryVm/src/common/slotCoordinator.ts
@@ -7,6 +7,7 @@
   type SlotDecision,
   SlotScheduler,
 } from '@hickoryhoist/dispatch/common/slotScheduler.js';
+import type { ServerTime } from '@hickoryhoist/dispatch/common/serverTimes.js';
 import type { AskMessage, PeerMessage } from './peerMessage.js';
 
 const TICK_MILLISECONDS = 50;
@@ -64,10 +65,10 @@
   }
 
   /** Time that a request takes, for the servers that have answered one, by service. */
-  serverMilliseconds(): ReadonlyMap<string, Readonly<Record<string, number>>> {
+  serverTimes(): ReadonlyMap<string, ReadonlyMap<string, ServerTime>> {
     const now = performance.now();
     return new Map(
-      [...this.#schedulers].map(([service, scheduler]) => [service, scheduler.learnedMilliseconds(now)]),
+      [...this.#schedulers].map(([service, scheduler]) => [service, scheduler.learnedTimes(now)]),
     );
   }
 
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -230,7 +230,7 @@
       rig.silent.add(usual);
       const substitute = await askOnce(asker);
       assert.is.not(substitute, usual);
-      const telling = [...rig.vms].filter(([, slots]) => 'server-1' in slots.serverMilliseconds());
+      const telling = [...rig.vms].filter(([, slots]) => slots.serverTimes().has('server-1'));
       assert.equal(
         telling.map(([id]) => id),
         [usual],
--- a/packages/entryVm/src/common/test/fakes/keyControlRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyControlRig.ts
@@ -103,7 +103,7 @@
         registry,
         roster,
         services: () => new Map([[SERVICE, { name: SERVICE, kind: 'keyed', connectionsPerServer: 50 }]]),
-        serverMilliseconds: () => ({}),
+        serverTimes: () => new Map(),
         send: (to, message) => {
           this.#send(vm, self.incarnation, to, message);
         },
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -135,7 +135,7 @@
         registry: this.#registry,
         roster: this.#roster,
         services: () => this.#routes?.configuration.services ?? new Map(),
-        serverMilliseconds: () => this.#slots.serverMilliseconds(),
+        serverTimes: () => this.#slots.serverTimes(),
         send: (ipAddress, message) => {
           this.#peers.send(ipAddress, message);
         },
--- a/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
+++ b/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
@@ -4,6 +4,7 @@
   type SlotDecision,
   SlotScheduler,
 } from '@hickoryhoist/dispatch/common/slotScheduler.js';
+import { expectedServerTimes } from '@hickoryhoist/dispatch/common/serverTimes.js';
 import { LAST_KEY, type OwnedRange, rangeOf } from '@hickoryhoist/keyownership/common/keyAssignment.js';
 import { type PlannedServer, planInitial, planMoves } from '@hickoryhoist/keyownership/common/keyPlanner.js';
 import { KeyTrafficLog } from '@hickoryhoist/keyownership/common/keyTrafficLog.js';
@@ -299,12 +300,13 @@
   }
 
   #planned(): readonly PlannedServer[] {
-    const learned = this.#scheduler.learnedMilliseconds(this.#now);
-    return [...this.#servers.keys()].map((id) => ({
+    const ids = [...this.#servers.keys()];
+    const times = expectedServerTimes(ids, this.#scheduler.learnedTimes(this.#now));
+    return ids.map((id) => ({
       id,
       incarnation: 1,
       address: id,
-      requestsPerSecond: (this.#options.slots * 1_000) / (learned[id] ?? this.#options.workMilliseconds),
+      requestsPerSecond: (this.#options.slots * 1_000) / (times.get(id) ?? this.#options.workMilliseconds),
     }));
   }
 
