Pass larger changes on in parts, by entry VMs with good links

Cause: changes of more than 4 KB were read from the store by every entry VM, 13 servers or more at a time. A message of 4 KB to 88 entry VMs takes 0.3 s of a link of 10 Mbit/s, and readers were chosen by processor alone.

Change: changes of up to 12 KB go out in up to three parts that follow one another; deleted keys go with the first. Readers and the assigner are chosen by processor and link.

Ruled out: one large datagram (lost whole with any of its packets).

--- a/packages/entryVm/src/common/entryVmRoster.ts
+++ b/packages/entryVm/src/common/entryVmRoster.ts
@@ -13,6 +13,7 @@
   ipAddress: z.string(),
   incarnation: z.string(),
   processorCores: z.number().positive(),
+  linkMegabitsPerSecond: z.number().positive(),
 });
 
 /** An entry VM as its row describes it. */
@@ -22,6 +23,12 @@
   readonly incarnation: string;
   /** Its processor in cores; larger entry VMs get more of the shared duties. */
   readonly processorCores: number;
+  readonly linkMegabitsPerSecond: number;
+}
+
+/** How fit an entry VM is, relative to others, for a duty that sends messages to all of them. */
+export function broadcastFitness({ processorCores, linkMegabitsPerSecond }: RosterEntry): number {
+  return processorCores * linkMegabitsPerSecond;
 }
 
 /** The rows that a roster reads. */
--- a/packages/entryVm/src/common/entryVmSettings.ts
+++ b/packages/entryVm/src/common/entryVmSettings.ts
@@ -9,6 +9,7 @@
   readonly availabilityZone: string;
   /** Processor of this entry VM in cores; larger ones get more of the shared duties. */
   readonly processorCores: number;
+  readonly linkMegabitsPerSecond: number;
   /** Port for callers. */
   readonly callerAddress: string;
   /** Port on which the balancer asks whether callers may be sent here. */
--- a/packages/entryVm/src/common/keyControl.ts
+++ b/packages/entryVm/src/common/keyControl.ts
@@ -25,7 +25,7 @@
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import { KeyOwners } from './keyOwners.js';
 import { KeyTrafficLog } from '@hickoryhoist/keyownership/common/keyTrafficLog.js';
-import type { EntryVmRoster, RosterEntry } from './entryVmRoster.js';
+import { broadcastFitness, type EntryVmRoster, type RosterEntry } from './entryVmRoster.js';
 import type { PeerMessage } from './peerMessage.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import { StoreReaders } from './storeReaders.js';
@@ -391,9 +391,9 @@
   }
 }
 
-/** The largest entry VMs first: the assigner has the most to do. */
+/** The fittest entry VMs first: the assigner has the most to do, and tells all others. */
 function bySize(entryVms: readonly RosterEntry[]): readonly RosterEntry[] {
   return [...entryVms].sort(
-    (left, right) => right.processorCores - left.processorCores || left.id.localeCompare(right.id),
+    (left, right) => broadcastFitness(right) - broadcastFitness(left) || left.id.localeCompare(right.id),
   );
 }
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -1,6 +1,7 @@
 import type { FollowedChanges, TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
-import type { RosterEntry } from './entryVmRoster.js';
+import { broadcastFitness, type RosterEntry } from './entryVmRoster.js';
 import type { PeerMessage } from './peerMessage.js';
+import { divideChanges } from './changeParts.js';
 import { rankByRendezvous } from './rendezvous.js';
 
 /** Entry VMs that follow the store for all; a second one covers the first while its connection is silent. */
@@ -11,8 +12,10 @@
 const READER_SILENCE_MILLISECONDS = 600;
 /** Time without an answer of the store after which a reader is no longer relied on, in milliseconds. */
 const STORE_SILENCE_MILLISECONDS = 300;
-/** Largest changes that are passed on, in bytes of text; larger ones are read from the store by each entry VM. */
-const LARGEST_CHANGES_BYTES = 4_000;
+/** Bytes of text of the rows in one message, so that its datagram gets through a slow link in some milliseconds. */
+const MESSAGE_BYTES = 4_000;
+/** Messages to which changes are divided at most; more is read from the store by each entry VM. */
+const MOST_MESSAGES = 3;
 
 /** Surroundings of the readers. */
 export interface StoreReadersOptions {
@@ -120,7 +123,7 @@
     const current = entryVms();
     if (current !== this.#chosenAmong) {
       this.#chosenAmong = current;
-      const candidates = current.map(({ id, processorCores }) => ({ id, weight: processorCores }));
+      const candidates = current.map((entryVm) => ({ id: entryVm.id, weight: broadcastFitness(entryVm) }));
       this.#isChosen = rankByRendezvous('store', candidates).slice(0, READERS).includes(selfId);
     }
   }
@@ -135,20 +138,20 @@
       return;
     }
     const { isPassedOn, sendToOthers } = this.#options;
-    const { version, newestChange, deletedKeys } = changes;
-    const rows = changes.rows
-      .filter(({ key }) => isPassedOn(table, key))
-      .map(({ key, value, version: rowVersion }) => ({ key, value, version: rowVersion }));
-    const bytes = rows.reduce((sum, { key, value }) => sum + key.length + value.length, 0);
-    if (bytes <= LARGEST_CHANGES_BYTES) {
+    const passedOn = changes.rows.filter(({ key }) => isPassedOn(table, key));
+    const parts = divideChanges(after, { ...changes, rows: passedOn }, MESSAGE_BYTES);
+    if (parts.length > MOST_MESSAGES) {
+      return;
+    }
+    for (const { after: partAfter, changes: part } of parts) {
       sendToOthers({
         type: 'table-changes',
         table,
-        after,
-        version,
-        newestChange,
-        rows,
-        deletedKeys: [...deletedKeys],
+        after: partAfter,
+        version: part.version,
+        newestChange: part.newestChange,
+        rows: part.rows.map(({ key, value, version }) => ({ key, value, version })),
+        deletedKeys: [...part.deletedKeys],
       });
     }
   }
--- a/packages/entryVm/src/common/test/fakes/keyControlRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyControlRig.ts
@@ -70,7 +70,13 @@
 
   startVm(id: string): RigVm {
     this.#incarnations += 1;
-    const self = { id, ipAddress: id, incarnation: this.#incarnations.toString(), processorCores: 1 };
+    const self = {
+      id,
+      ipAddress: id,
+      incarnation: this.#incarnations.toString(),
+      processorCores: 1,
+      linkMegabitsPerSecond: 100,
+    };
     const tasks = new DisposableStore();
     const logger: Logger = {
       log: (_level, event, fields) => {
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -112,4 +112,21 @@
       );
     });
   });
+
+  it('brings many servers at once to all without a call for each entry VM', async () => {
+    await runKeyControl(async (rig) => {
+      await rig.advance(3_000);
+      for (let number = 0; number < 40; number += 1) {
+        rig.announce(`server-of-a-large-release-${number.toString()}`);
+      }
+      await rig.advance(1_500);
+      for (const id of rig.vms.keys()) {
+        assert.is(rig.phaseOf(id, 'server-of-a-large-release-39'), 'ready', id);
+      }
+      assert.equal(
+        rig.trace.filter((line) => line.includes('table-behind')),
+        [],
+      );
+    });
+  });
 });
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -81,8 +81,9 @@
     this.#settings = settings;
     this.#binding = binding;
     this.#logger = logger;
-    const { id, ipAddress, processorCores } = settings;
-    const self = { id, ipAddress, processorCores, incarnation: randomUUID().slice(0, 8) };
+    const { id, ipAddress, processorCores, linkMegabitsPerSecond } = settings;
+    const incarnation = randomUUID().slice(0, 8);
+    const self = { id, ipAddress, processorCores, linkMegabitsPerSecond, incarnation };
     this.#health = new StoreHealth(logger);
     const store = observeRowStore(binding.store, this.#health, (kind, outcome) => {
       this.metrics.count('hickoryhoist_store_calls_total', { kind, outcome });
