Put what the dispatcher knows, and the text pages, into classes of their own

The entry VM's class held, besides putting its tasks together, which servers may get requests, how many connections may rest, and an HTTP server for short texts.

--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -1,22 +1,22 @@
 import { randomUUID } from 'node:crypto';
-import { createServer, type Server } from 'node:http';
 import { delay } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
-import { splitAddress } from '@hickoryhoist/base/common/networkAddress.js';
 import type { CallerRequest, DispatchOutcome } from '@hickoryhoist/dispatch/common/callerRequest.js';
 import { CrashSuspects } from '@hickoryhoist/dispatch/common/crashSuspects.js';
 import { RequestDispatcher } from '@hickoryhoist/dispatch/common/requestDispatcher.js';
 import { RetryAllowance } from '@hickoryhoist/dispatch/common/retryAllowance.js';
 import { ServerConnections } from '@hickoryhoist/dispatch/node/serverConnections.js';
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
+import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
 import { EntryVmMetrics } from '../common/entryVmMetrics.js';
+import { EntryVmKnowledge } from '../common/entryVmKnowledge.js';
 import type { EntryVmSettings } from '../common/entryVmSettings.js';
 import { EntryVmRoster } from '../common/entryVmRoster.js';
 import { KeyControl } from '../common/keyControl.js';
@@ -24,6 +24,7 @@
 import { ServerRegistry } from '../common/serverRegistry.js';
 import { CallerServer, type EndedRequest } from './callerServer.js';
 import { DatagramPeers } from './datagramPeers.js';
+import { TextServer } from './textServer.js';
 
 /**
  * Longest wait of one call for changes, in milliseconds. A connection that went silent is noticed after it, so it
@@ -36,13 +37,6 @@
 const CONTROL_PAUSE_MILLISECONDS = 100;
 const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 const TICK_MILLISECONDS = 50;
-/** Time in which a leaving server's keys usually have a new owner, in milliseconds. */
-const HAND_OVER_MILLISECONDS = 1_200;
-/**
- * Part of the connections that a server accepts which entry VMs keep open without a request. The rest is for
- * requests, which are as many as the server has slots, and for orders.
- */
-const IDLE_CONNECTION_SHARE = 0.8;
 /** Time after the order to stop for which the port stays open: the balancer notices within 2 to 3 s. */
 const BALANCER_MILLISECONDS = 3_300;
 /** Time before the forced end at which the process ends by itself, in milliseconds. */
@@ -70,8 +64,8 @@
   readonly #keys: KeyControl;
   readonly #callers: CallerServer;
   readonly #connections: ServerConnections;
-  readonly #readiness: Server;
-  readonly #metricsServer: Server;
+  readonly #readiness: TextServer;
+  readonly #metricsServer: TextServer;
   #routes: RouteTable | undefined;
   #isStopping = false;
   #tickDueAt = performance.now() + TICK_MILLISECONDS;
@@ -135,7 +129,7 @@
         health: this.#health,
         registry: this.#registry,
         roster: this.#roster,
-        services: () => this.#routes?.configuration.services ?? new Map(),
+        services: () => this.#services(),
         serverTimes: () => this.#slots.serverTimes(),
         send: (ipAddress, message) => {
           this.#peers.send(ipAddress, message);
@@ -151,16 +145,7 @@
       settings.availabilityZone,
       this.#slots,
       this.#connections,
-      {
-        server: (id) => this.#usableServer(id),
-        ownerOf: (service, key) => this.#keys.owners.ownerOf(service, key),
-        isHandingOver: (service, key) => this.#isHandingOver(service, key),
-        hasNewOwner: (service, key) => this.#keys.owners.hasNewOwner(service, key),
-        isToldOfOwners: () => this.#keys.isToldOfOwners,
-        mostIdleConnections: (service) => this.#mostIdleConnections(service),
-        onDidChangeOwners: this.#keys.owners.onDidChange,
-        pause: delay,
-      },
+      new EntryVmKnowledge(this.#registry, this.#keys, this.#roster, () => this.#services()),
       new RetryAllowance(settings.retryAllowance, () => this.#roster.entryVms().length),
       new CrashSuspects(),
       logger,
@@ -176,11 +161,15 @@
         logger,
       }),
     );
-    this.#readiness = this.#answeringServer((path) =>
-      path === binding.callerDialect.readyPath ? { status: this.isReady ? 200 : 503, text: '' } : undefined,
+    this.#readiness = this.register(
+      new TextServer((path) =>
+        path === binding.callerDialect.readyPath ? { status: this.isReady ? 200 : 503, text: '' } : undefined,
+      ),
     );
-    this.#metricsServer = this.#answeringServer((path) =>
-      path === '/metrics' ? { status: 200, text: this.metrics.page() } : undefined,
+    this.#metricsServer = this.register(
+      new TextServer((path) =>
+        path === '/metrics' ? { status: 200, text: this.metrics.page() } : undefined,
+      ),
     );
     this.#connectTasks();
   }
@@ -196,8 +185,8 @@
       this.#settings;
     await this.#peers.listen(ipAddress);
     await this.#callers.listen(callerAddress);
-    await listenOn(this.#readiness, readinessAddress);
-    await listenOn(this.#metricsServer, metricsAddress);
+    await this.#readiness.listen(readinessAddress);
+    await this.#metricsServer.listen(metricsAddress);
     this.#logger.log('info', 'started', { id, availabilityZone, callerAddress, readinessAddress });
   }
 
@@ -318,7 +307,7 @@
 
   /** Gives the slot schedulers the servers of each service that may get requests. */
   #shareServers(): void {
-    for (const service of this.#routes?.configuration.services.keys() ?? []) {
+    for (const service of this.#services().keys()) {
       const servers = [...this.#registry.servers.values()].filter(
         (server) => server.service === service && server.phase === 'ready',
       );
@@ -326,21 +315,8 @@
     }
   }
 
-  #usableServer(id: string) {
-    const server = this.#registry.servers.get(id);
-    return server?.phase === 'ready' ? server : undefined;
-  }
-
-  #isHandingOver(service: string, key: number): boolean {
-    const owner = this.#keys.owners.ownerOf(service, key);
-    const milliseconds = owner === undefined ? undefined : this.#registry.leavingMilliseconds(owner);
-    return milliseconds !== undefined && milliseconds < HAND_OVER_MILLISECONDS;
-  }
-
-  #mostIdleConnections(service: string): number {
-    const limit = this.#routes?.configuration.services.get(service)?.connectionsPerServer ?? 0;
-    const entryVms = Math.max(1, this.#roster.entryVms().length);
-    return Math.floor((limit * IDLE_CONNECTION_SHARE) / entryVms);
+  #services(): ReadonlyMap<string, RoutedService> {
+    return this.#routes?.configuration.services ?? new Map<string, RoutedService>();
   }
 
   #dispatch(dispatcher: RequestDispatcher, request: CallerRequest): Promise<DispatchOutcome> {
@@ -378,28 +354,4 @@
       goal: Math.round(ended.goalMilliseconds),
     });
   }
-
-  #answeringServer(answer: (path: string) => { status: number; text: string } | undefined): Server {
-    const server = createServer((message, response) => {
-      message.resume();
-      const { status, text } = answer(message.url ?? '') ?? { status: 404, text: '' };
-      response.writeHead(status, { 'content-type': 'text/plain', 'content-length': Buffer.byteLength(text) });
-      response.end(text);
-    });
-    this.register(
-      toDisposable(() => {
-        server.close();
-        server.closeAllConnections();
-      }),
-    );
-    return server;
-  }
-}
-
-function listenOn(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
 }
