Send a request again to a server that owns its key anew, and log the wait

A server whose grant had lapsed while the assigner changed gets the same keys under a new fence; requests waited for another owner all the same, up to their goal. The wait is logged with what it was decided on.

Test: such a request is sent again to the same server (it was refused).

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -214,18 +214,35 @@
       case 'pause':
         await this.#knowledge.pause(LOOK_UP_PAUSE_MILLISECONDS);
         return true;
-      case 'next-owner': {
-        if (!this.#knowledge.isToldOfOwners()) {
-          return false;
-        }
-        // The server that gives a key up finishes what runs on it first, which takes about as long as a request.
-        const until = Math.max(performance.now() + HAND_OVER_MILLISECONDS, request.goalAt);
-        await this.#pauseWhile(request, until, () => this.#owner(request) === serverId);
-        return this.#owner(request) !== serverId;
-      }
+      case 'next-owner':
+        return this.#waitForNextOwner(request, serverId);
     }
   }
 
+  /** @returns whether a key that its owner has given up may be asked for again. */
+  async #waitForNextOwner(request: CallerRequest, formerOwnerId: string): Promise<boolean> {
+    const startedAt = performance.now();
+    const isHeldByFormer = (): boolean =>
+      this.#owner(request) === formerOwnerId && !this.#hasNewOwner(request);
+    const isTold = this.#knowledge.isToldOfOwners();
+    if (isTold) {
+      // The server that gives a key up finishes what runs on it first, which takes about as long as a request.
+      const until = Math.max(startedAt + HAND_OVER_MILLISECONDS, request.goalAt);
+      await this.#pauseWhile(request, until, isHeldByFormer);
+    }
+    this.#logger.log('info', 'next-owner-waited-for', {
+      request: request.id,
+      service: request.service,
+      key: request.key,
+      former: formerOwnerId,
+      owner: this.#owner(request),
+      isTold,
+      isFound: !isHeldByFormer(),
+      milliseconds: Math.round(performance.now() - startedAt),
+    });
+    return !isHeldByFormer();
+  }
+
   /** Waits in short steps. A caller that is sent away during a hand-over comes back much later. */
   async #pauseWhile(request: CallerRequest, until: number, isWanted: () => boolean): Promise<void> {
     const end = Math.min(until, request.deadlineAt - LEAST_ATTEMPT_MILLISECONDS);
@@ -238,6 +255,10 @@
     return request.key === undefined ? undefined : this.#knowledge.ownerOf(request.service, request.key);
   }
 
+  #hasNewOwner({ service, key }: CallerRequest): boolean {
+    return key !== undefined && this.#knowledge.hasNewOwner(service, key);
+  }
+
   /** Looks the server up directly before sending: a slot may have been waited for. */
   #mayStillSend(request: CallerRequest, slot: Slot): ServerRecord | undefined {
     const server = this.#knowledge.server(slot.serverId);
@@ -321,14 +342,12 @@
     }
   }
 
-  #waitAfterRefusal({ isKeyed, key, service }: CallerRequest, refusal: ServerRefusal): WaitBetweenAttempts {
+  #waitAfterRefusal(request: CallerRequest, refusal: ServerRefusal): WaitBetweenAttempts {
     switch (refusal) {
       case 'misdirected':
-        return isKeyed && key !== undefined && !this.#knowledge.hasNewOwner(service, key)
-          ? 'next-owner'
-          : 'pause';
+        return request.isKeyed && !this.#hasNewOwner(request) ? 'next-owner' : 'pause';
       case 'overloaded':
-        return isKeyed ? 'pause' : 'nothing';
+        return request.isKeyed ? 'pause' : 'nothing';
     }
   }
 
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -264,30 +264,43 @@
     assert.is(first?.sent, 2);
   });
 
-  it('is sent again to an owner that has not been granted the key yet', async () => {
-    const transport = [misdirected, answered];
-    const asked: string[] = [];
-    const slots = {
-      acquire: (): Promise<SlotResult> =>
-        Promise.resolve({
-          kind: 'granted',
-          slot: { serverId: 'server-1', coordinatorId: 'vm-1', finish: () => undefined },
-        }),
-    };
-    const dispatcher = dispatcherOf(
-      slots,
-      {
-        call: ({ serverId }) => {
+  for (const { name, newAfterPauses } of [
+    { name: 'an owner that has not been granted the key yet', newAfterPauses: 0 },
+    { name: 'the same server once it is the owner anew', newAfterPauses: 5 },
+  ]) {
+    it(`is sent again to ${name}`, async () => {
+      const results = [misdirected, answered];
+      const asked: string[] = [];
+      let pauses = 0;
+      const slots = {
+        acquire: (): Promise<SlotResult> =>
+          Promise.resolve({
+            kind: 'granted',
+            slot: { serverId: 'server-1', coordinatorId: 'vm-1', finish: () => undefined },
+          }),
+      };
+      const transport = {
+        call: ({ serverId }: { serverId: string }): Promise<ServerCallResult> => {
           asked.push(serverId);
-          return Promise.resolve(transport.shift() ?? lost);
+          return Promise.resolve(results.shift() ?? lost);
         },
-      },
-      { ownerOf: () => 'server-1', hasNewOwner: () => true },
-      60,
-    );
-    assert.is((await dispatcher.dispatch(requestOf('idempotent', keyed))).kind, 'answered');
-    assert.equal(asked, ['server-1', 'server-1']);
-  });
+      };
+      const knowledge = {
+        ownerOf: () => 'server-1',
+        hasNewOwner: () => pauses >= newAfterPauses,
+        pause: () => {
+          pauses += 1;
+          return Promise.resolve();
+        },
+      };
+      const outcome = await dispatcherOf(slots, transport, knowledge, 60).dispatch(
+        requestOf('idempotent', keyed),
+      );
+      assert.is(outcome.kind, 'answered');
+      assert.equal(asked, ['server-1', 'server-1']);
+      assert.ok(pauses <= newAfterPauses + 1, `${pauses.toString()} pauses`);
+    });
+  }
 
   it('is refused at once by an entry VM that is not told of owners', async () => {
     let pauses = 0;
