Count the time of a call without an answer as part of the pause after it

A refresh that was under way when the cut healed takes 1.2 s to fail, and the pause after it was up to 1.04 s more.

Change: the pause, which spares a store that refuses quickly, begins with the call.

Test: a table has caught up 1.5 s after an outage, whenever the last call of the outage began (it had not).

--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -163,6 +163,7 @@
 
   async #run(isStopped: () => boolean): Promise<void> {
     while (!isStopped()) {
+      const startedAt = performance.now();
       try {
         await this.#advance();
         this.#retryMilliseconds = FIRST_RETRY_MILLISECONDS;
@@ -175,7 +176,12 @@
           table: this.#options.table,
           reason: describeError(error),
         });
-        await delay(this.#retryMilliseconds * (1 + JITTER * Math.random()));
+        // The pause spares a store that refuses quickly; the time of a call without an answer counts as part of it.
+        const pause = Math.max(
+          FIRST_RETRY_MILLISECONDS,
+          this.#retryMilliseconds - (performance.now() - startedAt),
+        );
+        await delay(pause * (1 + JITTER * Math.random()));
         this.#retryMilliseconds = Math.min(2 * this.#retryMilliseconds, LONGEST_RETRY_MILLISECONDS);
       }
     }
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -142,6 +142,28 @@
     });
   });
 
+  it('catches up within 1.5 s of an outage, also when a call of the outage is still under way', async () => {
+    for (const begunBefore of [0, 250, 500, 750, 1_000, 1_250, 1_500, 1_750]) {
+      await withWatcher(async (store, watcher, clock) => {
+        watcher.follow('relay');
+        await clock.tickAsync(11_000);
+        const tellFor = async (milliseconds: number, version: number): Promise<void> => {
+          for (let elapsed = 0; elapsed < milliseconds; elapsed += 50) {
+            watcher.expectVersion(version);
+            await clock.tickAsync(50);
+          }
+        };
+        store.put(TABLE, 'a', 'one');
+        const version = store.row(TABLE, 'a')?.version ?? 0;
+        store.setCondition({ kind: 'silent', failsAfterMilliseconds: 1_200 });
+        await tellFor(12_000 + begunBefore, version);
+        store.setCondition({ kind: 'working' });
+        await tellFor(1_500, version);
+        assert.is(watcher.rows.get('a')?.value, 'one', `${begunBefore.toString()} ms`);
+      });
+    }
+  });
+
   it('catches up over a slow connection while others pass changes on that leave a gap', async () => {
     await withWatcher(async (store, watcher, clock) => {
       watcher.follow('relay');
