Give the keys of many lost servers to more than three others

Neighbouring lost servers leave one gap, so the keys of 20 went to three servers.

Change: each of the others is given at most half of a server's even share of keys.

Test: the keys of 20 of 60 servers go to 20 others or more, in at most 60 ranges (three before).

--- a/packages/keyOwnership/src/common/keyPlanner.ts
+++ b/packages/keyOwnership/src/common/keyPlanner.ts
@@ -47,7 +47,9 @@
 /** Share of keys that a move without load may take, to give a server without keys its first ones. */
 const FIRST_SHARE = 0.5;
 
-/** Servers that keys without an owner go to, beyond one for each gap that they make. */
+/** Part of a server's even share of keys that each of the others is given when servers are lost. */
+const RECEIVED_SHARE = 0.5;
+/** Servers that keys without an owner go to beyond those, so that one lost server's keys go to a few. */
 const MORE_RECEIVERS = 2;
 
 /**
@@ -73,11 +75,12 @@
     owner,
     lack: Math.max(0, ((keys + ownedBySet) * owner.requestsPerSecond) / total - (owned.get(owner.id) ?? 0)),
   }));
-  const receivers =
-    ranges.length === 0
-      ? lacks
-      : [...lacks].sort((left, right) => right.lack - left.lack).slice(0, gaps.length + MORE_RECEIVERS);
-  return divide(gaps, receivers);
+  if (ranges.length === 0) {
+    return divide(gaps, lacks);
+  }
+  const evenShare = (LAST_KEY + 1) / servers.length;
+  const receivers = Math.max(gaps.length, Math.ceil(keys / (RECEIVED_SHARE * evenShare))) + MORE_RECEIVERS;
+  return divide(gaps, [...lacks].sort((left, right) => right.lack - left.lack).slice(0, receivers));
 }
 
 /** Cuts gaps into pieces in proportion to what each server lacks. */
