Tell an entry VM's own cut from an outage of the store

Cause: rows that lapse in an outage of the store return within 2 s, so an entry VM believes that servers are missing only 2.4 s after it has the store again. Trace: cut healed at 13.0 s, rows read at 13.8 s, missing servers believed at 16.1 s, bound 16.0 s.

Change: readers say for how long they have reached the store; the longest time heard counts, as long as the store answers this process too.

Test: 1.8 s after its own cut an entry VM no longer has a server that left meanwhile (it had).

--- a/packages/entryVm/src/common/keyControl.ts
+++ b/packages/entryVm/src/common/keyControl.ts
@@ -124,6 +124,7 @@
       entryVms: () => roster.entryVms(),
       mustRead: () => this.isAssigner,
       storeSilence: () => health.silenceMilliseconds(),
+      storeReachable: () => health.reachableMilliseconds(),
       isPassedOn: (table, key) => table !== CONTROL_TABLE || !isAssignmentKey(key),
       sendToOthers: options.sendToOthers,
     });
@@ -143,6 +144,18 @@
     return this.#keyedServices().every((service) => this.owners.assignmentOf(service) !== undefined);
   }
 
+  /**
+   * Milliseconds for which the store has been there without an outage. What this process was cut off from was no outage
+   * when a reader has reached the store all the while.
+   */
+  storeReachableMilliseconds(): number {
+    const { health } = this.#options;
+    const own = health.reachableMilliseconds();
+    return health.isReachable
+      ? Math.max(own, this.#readers.heardStoreReachableMilliseconds(performance.now()))
+      : own;
+  }
+
   /** Whether changes of owners reach this process, from the assigner or from the store. */
   get isToldOfOwners(): boolean {
     return this.isAssigner || this.#options.health.isReachable || !this.#isAssignerSilent();
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -53,6 +53,8 @@
   }),
   z.object({
     type: z.literal('reader-heartbeat'),
+    /** Milliseconds for which the sender has reached the store. */
+    storeReachable: z.number(),
     /** Milliseconds without an answer from the store while calls fail. */
     storeSilence: z.number(),
     versions: z.record(z.string(), z.number()),
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -12,6 +12,8 @@
 const READER_SILENCE_MILLISECONDS = 600;
 /** Time without an answer of the store after which a reader is no longer relied on, in milliseconds. */
 const STORE_SILENCE_MILLISECONDS = 300;
+/** Longest time that is told, in milliseconds; beyond, it makes no difference. */
+const LONGEST_TOLD_MILLISECONDS = 60_000;
 /** Bytes of text of the rows in one message, so that its datagram gets through a slow link in some milliseconds. */
 const MESSAGE_BYTES = 4_000;
 /** Messages to which changes are divided at most; more is read from the store by each entry VM. */
@@ -26,6 +28,8 @@
   /** Whether this process needs the store's own word on everything: the assigner does. */
   readonly mustRead: () => boolean;
   readonly storeSilence: () => number;
+  /** Milliseconds for which this process has reached the store. */
+  readonly storeReachable: () => number;
   /** Whether a row is passed on; others are told of in another way. */
   readonly isPassedOn: (table: string, key: string) => boolean;
   readonly sendToOthers: (message: PeerMessage) => void;
@@ -39,6 +43,8 @@
 export class StoreReaders {
   readonly #options: StoreReadersOptions;
   #heardReaderAt = Number.NEGATIVE_INFINITY;
+  /** Since when a reader that was heard a short time ago has reached the store. */
+  #storeReachableSince = Number.POSITIVE_INFINITY;
   #nextHeartbeatAt = 0;
   #isReader = true;
   #isChosen = true;
@@ -72,6 +78,12 @@
     }
   }
 
+  /** Milliseconds for which a reader has reached the store, 0 when no such reader is heard. */
+  heardStoreReachableMilliseconds(now: number): number {
+    const isHeard = now - this.#heardReaderAt < READER_SILENCE_MILLISECONDS;
+    return isHeard ? Math.max(0, now - this.#storeReachableSince) : 0;
+  }
+
   /** Version of the newest change that was seen in each table. */
   versions(): Record<string, number> {
     return Object.fromEntries([...this.#options.tables].map(([name, table]) => [name, table.newestChange]));
@@ -90,6 +102,9 @@
     switch (message.type) {
       case 'reader-heartbeat':
         if (message.storeSilence < STORE_SILENCE_MILLISECONDS) {
+          const since = now - message.storeReachable;
+          const isOthersOld = now - this.#heardReaderAt > READER_SILENCE_MILLISECONDS;
+          this.#storeReachableSince = isOthersOld ? since : Math.min(since, this.#storeReachableSince);
           this.#heardReaderAt = now;
         }
         this.expectVersions(message.versions);
@@ -129,8 +144,13 @@
   }
 
   #sendHeartbeats(): void {
-    const storeSilence = Math.round(this.#options.storeSilence());
-    this.#options.sendToOthers({ type: 'reader-heartbeat', storeSilence, versions: this.versions() });
+    const { storeSilence, storeReachable, sendToOthers } = this.#options;
+    sendToOthers({
+      type: 'reader-heartbeat',
+      storeSilence: Math.round(storeSilence()),
+      storeReachable: Math.round(Math.min(storeReachable(), LONGEST_TOLD_MILLISECONDS)),
+      versions: this.versions(),
+    });
   }
 
   #passOn({ table, after, changes }: FollowedChanges): void {
--- a/packages/entryVm/src/common/test/fakes/keyControlRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyControlRig.ts
@@ -89,13 +89,13 @@
       tasks.add(new TableWatcher(store, { table, waitMilliseconds: 2_500, pauseMilliseconds: 10 }, logger));
     const controlRows = watch(CONTROL_TABLE);
     const serverRows = watch(SERVERS_TABLE);
-    const registry = new ServerRegistry(
+    const registry: ServerRegistry = new ServerRegistry(
       (_id, value) => JSON.parse(value) as ServerRecord,
-      () => health.reachableMilliseconds(),
+      () => control.storeReachableMilliseconds(),
       logger,
     );
     const roster = new EntryVmRoster(self, store, controlRows, logger);
-    const control = tasks.add(
+    const control: KeyControl = tasks.add(
       new KeyControl({
         self,
         store,
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -4,6 +4,8 @@
 
 /** Time within which every entry VM must know that a server leaves, in milliseconds: the platform's `drain`. */
 const DRAIN_MILLISECONDS = 2_000;
+/** Time that an entry VM has after a cut of its own, 3 s, but for the call that is under way when it heals. */
+const CATCH_UP_MILLISECONDS = 1_800;
 const REST_MILLISECONDS = 20_000;
 /** Two readers and the assigner wait 2.5 s at a time for each of two tables; the assigner confirms every 2 s. */
 const MOST_CALLS_AT_REST = (3 * 2 * REST_MILLISECONDS) / 2_500 + REST_MILLISECONDS / 2_000;
@@ -129,4 +131,22 @@
       );
     });
   });
+
+  it('shows an entry VM that was cut off alone which servers left meanwhile, without a wait for their return', async () => {
+    await runKeyControl(async (rig) => {
+      await rig.advance(3_000);
+      const readers = readerIds(rig);
+      const cutOff = [...rig.vms.keys()].find((id) => !readers.includes(id)) ?? '';
+      assert.ok(cutOff);
+      rig.store.refuse(cutOff, true);
+      rig.loses = ({ type }) => type === 'table-changes';
+      await rig.advance(3_000);
+      rig.withdraw('server-4');
+      await rig.advance(6_000);
+      rig.store.refuse(cutOff, false);
+      rig.loses = () => false;
+      await rig.advance(CATCH_UP_MILLISECONDS);
+      assert.is.not(rig.phaseOf(cutOff, 'server-4'), 'ready');
+    });
+  });
 });
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -100,7 +100,7 @@
     ]);
     this.#registry = new ServerRegistry(
       (id, value) => binding.decodeServer(id, value),
-      () => this.#health.reachableMilliseconds(),
+      () => this.#keys.storeReachableMilliseconds(),
       logger,
     );
     this.#peers = this.register(new DatagramPeers(self, settings.peerPort, logger));
