Describe a server once in the tests of the dispatcher

The same record stood twice, as the default and in the test of a server that is leaving. The assertions are unchanged; requestDispatcher: 20 passed, typecheck and lint clean.

--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -8,6 +8,7 @@
 import { RequestDispatcher, type ServerKnowledge } from '../requestDispatcher.js';
 import { RetryAllowance } from '../retryAllowance.js';
 import type { ServerCallResult, ServerTransport } from '../serverCall.js';
+import type { ServerRecord } from '../serverRecord.js';
 import type { SlotResult, SlotSource, SlotWish } from '../slotSource.js';
 
 const lost: ServerCallResult = { kind: 'lost', reason: 'connection-lost' };
@@ -50,6 +51,19 @@
   };
 }
 
+function serverOf(id: string): ServerRecord {
+  return {
+    id,
+    incarnation: 1,
+    service: 'circulation',
+    address: id,
+    availabilityZone: 'z',
+    slots: 2,
+    phase: 'ready',
+    warmupMilliseconds: 0,
+  };
+}
+
 interface Play {
   readonly outcome: DispatchOutcome;
   readonly sent: number;
@@ -97,16 +111,7 @@
   extra: number,
 ): RequestDispatcher {
   const knowledge: ServerKnowledge = {
-    server: (id) => ({
-      id,
-      incarnation: 1,
-      service: 'circulation',
-      address: id,
-      availabilityZone: 'z',
-      slots: 2,
-      phase: 'ready',
-      warmupMilliseconds: 0,
-    }),
+    server: serverOf,
     ownerOf: () => undefined,
     isHandingOver: () => false,
     hasNewOwner: () => false,
@@ -229,19 +234,7 @@
       },
     };
     const outcome = await playOne(requestOf('at-most-once'), slots, {
-      server: (id) =>
-        id === 'server-1'
-          ? undefined
-          : {
-              id,
-              incarnation: 1,
-              service: 'circulation',
-              address: id,
-              availabilityZone: 'z',
-              slots: 2,
-              phase: 'ready',
-              warmupMilliseconds: 0,
-            },
+      server: (id) => (id === 'server-1' ? undefined : serverOf(id)),
     });
     assert.is(outcome.kind === 'answered' && outcome.serverId, 'server-2');
     assert.equal(finished, ['server-1', 'server-2']);
