--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -192,8 +192,7 @@
   async #advance(): Promise<void> {
     const { table, waitMilliseconds, pauseMilliseconds } = this.#options;
     if (this.#version === undefined || this.#isReloadDue) {
-      this.#isReloadDue = false;
-      await this.#readTable();
+      await this.#reloadTable();
       return;
     }
     if (this.#source === 'relay' && !this.#isPollDue) {
@@ -249,6 +248,17 @@
     return true;
   }
 
+  /** Reads the whole table. A reload requested while the read is in progress leads to another read. */
+  async #reloadTable(): Promise<void> {
+    this.#isReloadDue = false;
+    try {
+      await this.#readTable();
+    } catch (error) {
+      this.#isReloadDue = true;
+      throw error;
+    }
+  }
+
   async #readTable(): Promise<void> {
     const snapshot = await this.#store.readTable(this.#options.table);
     const keys = new Set(snapshot.rows.map(({ key }) => key));
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -61,6 +61,21 @@
     });
   });
 
+  it('repeats a full read that an outage interrupts', async () => {
+    await withWatcher(async (store, watcher, clock) => {
+      store.put(TABLE, 'a', 'one');
+      await clock.tickAsync(50);
+      const before = watcher.fullReadCount;
+      store.setCondition({ kind: 'down' });
+      watcher.reload();
+      await clock.tickAsync(3_000);
+      assert.is(watcher.fullReadCount, before);
+      store.setCondition({ kind: 'working' });
+      await clock.tickAsync(2_000);
+      assert.is(watcher.fullReadCount, before + 1);
+    });
+  });
+
   it('applies relayed changes without calls to the store', async () => {
     await withWatcher(async (store, watcher, clock) => {
       store.put(TABLE, 'a', 'one');
