Check and bound the responses of servers in one place

Cause: both transports accepted responses and refusals without the identifier of the request, and an earlier refusal written again on a kept connection was taken for the refusal of the next try of the same request. A body without length that ended in a reset was taken as whole by the gateway. Nothing bounded a response without end. Change: package connection with one HttpConnection for both. A response counts only with exactly the identifier of its request; a connection carries no second try of a request; bytes without a request in flight close it, also those that have arrived but were not read when it is reused; head, framing, body and all incomplete bodies together are bounded (settings responseLimits). On the platform a refusal needs the header that says so, and 408, 421, 429 and 503 without it are not passed on. Tests: a scripted server over raw sockets, a property over sequences of 26 behaviours and 12 responses without end, for both transports. Changed tests: stand-ins repeat the identifier in refusals, and tests that reuse a connection send distinct identifiers.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,7 @@
   store: ['base'],
   configuration: ['base', 'store'],
   ownership: ['base', 'store', 'protocol', 'configuration'],
-  gateway: ['base', 'protocol', 'configuration', 'ownership'],
+  gateway: ['base', 'protocol', 'configuration', 'ownership', 'connection'],
   daemon: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway'],
   standIns: [
     'base',
@@ -22,10 +22,11 @@
     'dispatch',
   ],
   routing: ['base'],
-  dispatch: ['base', 'routing'],
+  connection: ['base'],
+  dispatch: ['base', 'routing', 'connection'],
   keyownership: ['base', 'store'],
-  entryvm: ['base', 'store', 'routing', 'dispatch', 'keyownership'],
-  platform: ['base', 'store', 'routing', 'dispatch', 'keyownership', 'entryvm'],
+  entryvm: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership'],
+  platform: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership', 'entryvm'],
   testing: [],
 };
 
--- a/packages/base/src/common/headerValue.ts
+++ b/packages/base/src/common/headerValue.ts
@@ -6,3 +6,12 @@
   const value = headers[name];
   return typeof value === 'string' ? value : value?.[0];
 }
+
+/** Returns the value of a header that occurs exactly once, or undefined. */
+export function singleHeaderValue(headers: HeaderValues, name: string): string | undefined {
+  const value = headers[name];
+  if (typeof value === 'string') {
+    return value;
+  }
+  return value?.length === 1 ? value[0] : undefined;
+}
--- a/packages/dispatch/src/common/callerRequest.ts
+++ b/packages/dispatch/src/common/callerRequest.ts
@@ -38,7 +38,8 @@
   | 'deadline';
 
 /** Reason why it is unknown whether a server ran a request. */
-export type UnknownReason = 'connection-lost' | 'deadline' | 'answer-damaged' | 'caller-left';
+export type UnknownReason =
+  'connection-lost' | 'deadline' | 'answer-damaged' | 'answer-too-large' | 'caller-left';
 
 /** Outcome of a request. `not-run` requires proof that no server ran it or will run it. */
 export type RequestOutcome =
--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -391,6 +391,7 @@
           return 'cancelled';
         case 'connection-lost':
         case 'answer-damaged':
+        case 'answer-too-large':
           return 'failed';
       }
   }
--- a/packages/dispatch/src/common/serverCall.ts
+++ b/packages/dispatch/src/common/serverCall.ts
@@ -50,10 +50,13 @@
 export interface ServerProtocol {
   /** Headers with the request identifier, the target server and the remaining time. */
   requestHeaders(call: ServerCall): Record<string, string>;
-  /** Identifier of the request that a response belongs to, if the response carries one. */
+  /** Identifier of the request that a response belongs to, if the response carries exactly one. */
   responseRequestId(headers: ResponseHeaders): string | undefined;
   /** Reason for which the server did not run the request, if the response reports one. */
   refusal(status: number, headers: ResponseHeaders): ServerRefusal | undefined;
-  /** Whether a response of this status is a complete response of the server itself. */
+  /**
+   * Whether a response that is no refusal may be passed on: it is a complete response of the server itself, and its
+   * status does not tell the caller that the request was not run.
+   */
   isGenuine(status: number, headers: ResponseHeaders): boolean;
 }
--- a/packages/dispatch/src/node/serverConnectionPool.ts
+++ b/packages/dispatch/src/node/serverConnectionPool.ts
@@ -1,4 +1,6 @@
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import type { ResponseLimits } from '@hickoryhoist/connection/common/responseLimits.js';
+import { ResponseMemory } from '@hickoryhoist/connection/common/responseMemory.js';
 import type { ServerCall, ServerCallResult, ServerProtocol, ServerTransport } from '../common/serverCall.js';
 import { ServerConnection } from './serverConnection.js';
 
@@ -14,13 +16,17 @@
  */
 export class ServerConnectionPool extends DisposableBase implements ServerTransport {
   readonly #protocol: ServerProtocol;
+  readonly #limits: ResponseLimits;
+  readonly #memory: ResponseMemory;
   /** Idle connections by address, the most recently used one last. */
   readonly #idle = new Map<string, ServerConnection[]>();
   #openedCount = 0;
 
-  constructor(protocol: ServerProtocol) {
+  constructor(protocol: ServerProtocol, limits: ResponseLimits) {
     super();
     this.#protocol = protocol;
+    this.#limits = limits;
+    this.#memory = new ResponseMemory(limits.maxBufferedBytes);
     this.register(
       toDisposable(() => {
         for (const idle of this.#idle.values()) {
@@ -40,7 +46,7 @@
       return { kind: 'not-written' };
     }
     const idle = this.#idleOf(call.address);
-    const connection = takeReusable(idle, call.isIdempotent) ?? this.#open(call.address);
+    const connection = (await takeReusable(idle, call)) ?? this.#open(call.address);
     const startedAt = performance.now();
     const result = await connection.send(call);
     if (result.kind === 'lost' && result.reason === 'deadline') {
@@ -56,7 +62,7 @@
 
   #open(address: string): ServerConnection {
     this.#openedCount += 1;
-    return new ServerConnection(address, this.#protocol);
+    return new ServerConnection(address, this.#protocol, this.#limits, this.#memory);
   }
 
   #idleOf(address: string): ServerConnection[] {
@@ -70,11 +76,23 @@
   }
 }
 
-/** Takes the most recently used connection that can be reused, and closes the others it passes. */
-function takeReusable(idle: ServerConnection[], isIdempotent: boolean): ServerConnection | undefined {
-  for (let connection = idle.pop(); connection !== undefined; connection = idle.pop()) {
+/**
+ * Takes the most recently used connection that can be reused, and closes unusable ones that it passes. Connections
+ * that have carried the same request before stay idle.
+ */
+async function takeReusable(
+  idle: ServerConnection[],
+  { requestId, isIdempotent }: ServerCall,
+): Promise<ServerConnection | undefined> {
+  for (let index = idle.length - 1; index >= 0; index = Math.min(index, idle.length) - 1) {
+    const connection = idle[index];
+    if (connection === undefined || connection.hasCarried(requestId)) {
+      continue;
+    }
+    idle.splice(index, 1);
     const idleMilliseconds = performance.now() - connection.lastResponseAt;
-    if (connection.isUsable && (isIdempotent || idleMilliseconds < MAX_NON_IDEMPOTENT_IDLE_MILLISECONDS)) {
+    const isRecent = isIdempotent || idleMilliseconds < MAX_NON_IDEMPOTENT_IDLE_MILLISECONDS;
+    if (isRecent && (await connection.remainsUsable())) {
       return connection;
     }
     connection.dispose();
--- a/packages/dispatch/src/node/test/serverConnectionPool.test.ts
+++ b/packages/dispatch/src/node/test/serverConnectionPool.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import * as assert from 'uvu/assert';
+import { defaultResponseLimits } from '@hickoryhoist/connection/common/responseLimits.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { ServerCall, ServerProtocol } from '../../common/serverCall.js';
 import { ServerConnectionPool } from '../serverConnectionPool.js';
@@ -12,7 +13,11 @@
   isGenuine: (status, headers) => status !== 200 || headers.signature !== undefined,
 };
 
-const HEAD = 'HTTP/1.1 200 OK\r\nrequest-id: one\r\nsignature: s\r\n';
+const HEAD = headOf('one');
+
+function headOf(requestId: string): string {
+  return `HTTP/1.1 200 OK\r\nrequest-id: ${requestId}\r\nsignature: s\r\n`;
+}
 
 /** Runs a test against a server that handles each request by its number and counts connections. */
 async function withServer(
@@ -63,7 +68,7 @@
     await withServer(
       (socket) => socket.end(`${HEAD}connection: close\r\n\r\nwhole`),
       async (address) => {
-        const connections = new ServerConnectionPool(protocol);
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
         const result = await connections.call(call(address));
         assert.is(result.kind === 'answered' && result.body.toString(), 'whole');
         connections.dispose();
@@ -79,7 +84,7 @@
         });
       },
       async (address) => {
-        const connections = new ServerConnectionPool(protocol);
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
         assert.equal(await connections.call(call(address)), { kind: 'lost', reason: 'answer-damaged' });
         connections.dispose();
       },
@@ -92,7 +97,7 @@
         socket.write(`${HEAD}connection: close\r\n\r\npar`, () => socket.resetAndDestroy());
       },
       async (address) => {
-        const connections = new ServerConnectionPool(protocol);
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
         assert.equal(await connections.call(call(address)), { kind: 'lost', reason: 'answer-damaged' });
         connections.dispose();
       },
@@ -103,7 +108,7 @@
     await withServer(
       (socket) => socket.end(`${HEAD}content-length: 10\r\n\r\npar`),
       async (address) => {
-        const connections = new ServerConnectionPool(protocol);
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
         assert.equal((await connections.call(call(address))).kind, 'lost');
         connections.dispose();
       },
@@ -114,7 +119,7 @@
     await withServer(
       (socket) => socket.write(HEAD.replace('one', 'other') + 'content-length: 2\r\n\r\nno'),
       async (address, openedCount) => {
-        const connections = new ServerConnectionPool(protocol);
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
         assert.equal(await connections.call(call(address)), { kind: 'lost', reason: 'answer-damaged' });
         await connections.call(call(address));
         assert.is(openedCount(), 2);
@@ -127,7 +132,7 @@
     await withServer(
       (socket) => socket.write(`${HEAD}content-length: 2\r\n\r\nok${HEAD}content-length: 2\r\n\r\nok`),
       async (address) => {
-        const connections = new ServerConnectionPool(protocol);
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
         assert.is((await connections.call(call(address))).kind, 'answered');
         const second = await connections.call(call(address));
         assert.is(second.kind, 'answered');
@@ -140,11 +145,12 @@
 describe('a connection to a server', () => {
   it('is reused for the next request', async () => {
     await withServer(
-      (socket) => socket.write(`${HEAD}content-length: 2\r\n\r\nok`),
+      (socket, requestNumber) =>
+        socket.write(`${headOf(requestNumber.toString())}content-length: 2\r\n\r\nok`),
       async (address, openedCount) => {
-        const connections = new ServerConnectionPool(protocol);
-        await connections.call(call(address));
-        await connections.call(call(address));
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
+        await connections.call(call(address, { requestId: '1' }));
+        await connections.call(call(address, { requestId: '2' }));
         assert.is(openedCount(), 1);
         connections.dispose();
       },
@@ -152,7 +158,7 @@
   });
 
   it('that is refused leaves the request unwritten', async () => {
-    const connections = new ServerConnectionPool(protocol);
+    const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
     assert.equal(await connections.call(call('127.0.0.1:1')), { kind: 'not-written' });
     connections.dispose();
   });
@@ -160,17 +166,18 @@
   it('does not delay another request to the same server', async () => {
     await withServer(
       (socket, requestNumber) => {
-        setTimeout(() => socket.write(`${HEAD}content-length: 0\r\n\r\n`), requestNumber === 1 ? 100 : 0);
+        const head = headOf(requestNumber === 4 ? 'two' : 'one');
+        setTimeout(() => socket.write(`${head}content-length: 0\r\n\r\n`), requestNumber === 1 ? 100 : 0);
       },
       async (address, openedCount) => {
-        const connections = new ServerConnectionPool(protocol);
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
         const calls = [1, 2, 3].map(() => connections.call(call(address, { maxIdleConnections: 1 })));
         const results = await Promise.all(calls);
         assert.equal(
           results.map(({ kind }) => kind),
           ['answered', 'answered', 'answered'],
         );
-        await connections.call(call(address, { maxIdleConnections: 1 }));
+        await connections.call(call(address, { maxIdleConnections: 1, requestId: 'two' }));
         assert.is(openedCount(), 3, 'one connection was reused');
         connections.dispose();
       },
@@ -179,11 +186,11 @@
 
   it('is not kept beyond the limit on idle connections', async () => {
     await withServer(
-      (socket) => socket.write(`${HEAD}content-length: 0\r\n\r\n`),
+      (socket, requestNumber) => socket.write(`${headOf(requestNumber.toString())}content-length: 0\r\n\r\n`),
       async (address, openedCount) => {
-        const connections = new ServerConnectionPool(protocol);
-        await connections.call(call(address, { maxIdleConnections: 0 }));
-        await connections.call(call(address, { maxIdleConnections: 0 }));
+        const connections = new ServerConnectionPool(protocol, defaultResponseLimits);
+        await connections.call(call(address, { maxIdleConnections: 0, requestId: '1' }));
+        await connections.call(call(address, { maxIdleConnections: 0, requestId: '2' }));
         assert.is(openedCount(), 2);
         connections.dispose();
       },
--- a/packages/entryVm/src/common/entryVmSettings.ts
+++ b/packages/entryVm/src/common/entryVmSettings.ts
@@ -1,4 +1,5 @@
 import type { LogLevel } from '@hickoryhoist/base/common/logger.js';
+import type { ResponseLimits } from '@hickoryhoist/connection/common/responseLimits.js';
 import type { RetryBudgetOptions } from '@hickoryhoist/dispatch/common/retryBudget.js';
 
 /** Settings of an entry VM on a platform. Addresses are `IP:PORT`, times are in milliseconds. */
@@ -20,5 +21,7 @@
   /** Time between the stop signal and the time at which the process is killed. */
   readonly stopGraceMilliseconds: number;
   readonly retryBudget: RetryBudgetOptions;
+  /** Limits on the responses of servers. */
+  readonly responseLimits: ResponseLimits;
   readonly logLevel: LogLevel;
 }
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -140,7 +140,9 @@
         logger,
       }),
     );
-    this.#connections = this.register(new ServerConnectionPool(binding.serverProtocol));
+    this.#connections = this.register(
+      new ServerConnectionPool(binding.serverProtocol, settings.responseLimits),
+    );
     const dispatcher = new RequestDispatcher(
       settings.availabilityZone,
       this.#slots,
--- a/packages/gateway/src/node/connectionPool.ts
+++ b/packages/gateway/src/node/connectionPool.ts
@@ -1,4 +1,6 @@
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
+import { defaultResponseLimits } from '@hickoryhoist/connection/common/responseLimits.js';
+import { ResponseMemory } from '@hickoryhoist/connection/common/responseMemory.js';
 import type { AttemptResult, ServerRequest, ServerTransport } from '../common/serverTransport.js';
 import { ServerConnection } from './serverConnection.js';
 
@@ -18,6 +20,7 @@
  */
 export class ConnectionPool extends DisposableBase implements ServerTransport {
   readonly #servers = new Map<string, ServerPool>();
+  readonly #memory = new ResponseMemory(defaultResponseLimits.maxBufferedBytes);
 
   constructor() {
     super();
@@ -51,7 +54,12 @@
 
   async #acquire(request: ServerRequest): Promise<ServerConnection | undefined> {
     const pool = this.#serverPool(request.address);
-    for (let connection = pool.idle.pop(); connection !== undefined; connection = pool.idle.pop()) {
+    for (let index = pool.idle.length - 1; index >= 0; index = Math.min(index, pool.idle.length) - 1) {
+      const connection = pool.idle[index];
+      if (connection === undefined || connection.hasCarried(request.requestId)) {
+        continue;
+      }
+      pool.idle.splice(index, 1);
       if (await isUsable(connection, request)) {
         return connection;
       }
@@ -61,11 +69,11 @@
       return undefined;
     }
     pool.open += 1;
-    return new ServerConnection(request.address);
+    return new ServerConnection(request.address, this.#memory);
   }
 
   #release(address: string, connection: ServerConnection): void {
-    if (connection.isBroken || this.isDisposed()) {
+    if (!connection.isUsable || this.isDisposed()) {
       this.#close(address, connection);
       return;
     }
@@ -74,7 +82,7 @@
 
   #closeIdle(address: string, withoutResponseSince: number): void {
     const pool = this.#serverPool(address);
-    const unverified = pool.idle.filter(({ lastResponseAt }) => (lastResponseAt ?? 0) < withoutResponseSince);
+    const unverified = pool.idle.filter(({ lastResponseAt }) => lastResponseAt < withoutResponseSince);
     for (const connection of unverified) {
       pool.idle.splice(pool.idle.indexOf(connection), 1);
       this.#close(address, connection);
@@ -98,10 +106,10 @@
 }
 
 async function isUsable(connection: ServerConnection, request: ServerRequest): Promise<boolean> {
-  if (connection.isBroken) {
+  if (!(await connection.remainsUsable())) {
     return false;
   }
-  const idleMilliseconds = performance.now() - (connection.lastResponseAt ?? 0);
+  const idleMilliseconds = performance.now() - connection.lastResponseAt;
   if (request.isIdempotent || idleMilliseconds < PROBE_AFTER_IDLE_MILLISECONDS) {
     return true;
   }
--- a/packages/gateway/src/node/test/connectionPool.test.ts
+++ b/packages/gateway/src/node/test/connectionPool.test.ts
@@ -73,6 +73,18 @@
   };
 }
 
+function buildRequestWithId(
+  address: string,
+  requestId: string,
+  fields: Partial<ServerRequest> = {},
+): ServerRequest {
+  return buildRequest(address, { requestId, headers: { 'hickoryhoist-request-id': requestId }, ...fields });
+}
+
+function requestIdOf(text: string): string {
+  return /hickoryhoist-request-id: (\S+)/i.exec(text)?.[1] ?? '';
+}
+
 async function sendOnce(address: string, fields: Partial<ServerRequest> = {}): Promise<AttemptResult> {
   const pool = new ConnectionPool();
   try {
@@ -159,15 +171,27 @@
 
   it('is refused when the response has the refusal header', () =>
     withServer(
-      (socket) => socket.write('HTTP/1.1 421 No\r\nhickoryhoist-refusal: shed\r\ncontent-length: 0\r\n\r\n'),
+      (socket) =>
+        socket.write(
+          'HTTP/1.1 421 No\r\nhickoryhoist-request-id: request-1\r\nhickoryhoist-refusal: shed\r\ncontent-length: 0\r\n\r\n',
+        ),
       async (address) => {
         assert.equal(await sendOnce(address), { kind: 'refused', refusal: 'shed' });
       },
     ));
 
+  it('is lost when a response with the refusal header has no request identifier', () =>
+    withServer(
+      (socket) => socket.write('HTTP/1.1 421 No\r\nhickoryhoist-refusal: shed\r\ncontent-length: 0\r\n\r\n'),
+      async (address) => {
+        assert.equal(await sendOnce(address), { kind: 'lost', cause: 'answer-damaged' });
+      },
+    ));
+
   it('is answered when a server error has no refusal header', () =>
     withServer(
-      (socket) => socket.write('HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n'),
+      (socket) =>
+        socket.write('HTTP/1.1 503 No\r\nhickoryhoist-request-id: request-1\r\ncontent-length: 0\r\n\r\n'),
       async (address) => {
         assert.is((await sendOnce(address)).kind, 'answered');
       },
@@ -196,14 +220,16 @@
           return;
         }
         bookings += text.startsWith('POST') ? 1 : 0;
-        socket.write(responseText('request-1'));
+        socket.write(responseText(requestIdOf(text)));
       },
       async (address) => {
         const pool = new ConnectionPool();
-        assert.is((await pool.send(buildRequest(address))).kind, 'answered');
+        assert.is((await pool.send(buildRequestWithId(address, 'request-1'))).kind, 'answered');
         isFirstUnresponsive = true;
         await new Promise((resolve) => setTimeout(resolve, 600));
-        const result = await pool.send(buildRequest(address, { timeoutMilliseconds: 10_000 }));
+        const result = await pool.send(
+          buildRequestWithId(address, 'request-2', { timeoutMilliseconds: 10_000 }),
+        );
         assert.is(result.kind, 'answered');
         assert.is(bookings, 2);
         assert.is(pool.openConnections(address), 1);
@@ -215,22 +241,28 @@
   it('are closed when a request on one of them times out', async () => {
     let areOldUnresponsive = false;
     await withServer(
-      (socket, _text, connection) => {
+      (socket, text, connection) => {
         if (connection <= 3 && areOldUnresponsive) {
           return;
         }
-        setTimeout(() => socket.write(responseText('request-1')), 20);
+        setTimeout(() => socket.write(responseText(requestIdOf(text))), 20);
       },
       async (address) => {
         const pool = new ConnectionPool();
         const readFields = { isIdempotent: true, method: 'GET', body: Buffer.alloc(0) };
-        await Promise.all([1, 2, 3].map(() => pool.send(buildRequest(address, readFields))));
+        await Promise.all(
+          ['a', 'b', 'c'].map((id) => pool.send(buildRequestWithId(address, id, readFields))),
+        );
         assert.is(pool.openConnections(address), 3);
         areOldUnresponsive = true;
-        const timedOut = await pool.send(buildRequest(address, { ...readFields, timeoutMilliseconds: 50 }));
+        const timedOut = await pool.send(
+          buildRequestWithId(address, 'd', { ...readFields, timeoutMilliseconds: 50 }),
+        );
         assert.equal(timedOut, { kind: 'lost', cause: 'deadline' });
         assert.is(pool.openConnections(address), 0);
-        const next = await pool.send(buildRequest(address, { ...readFields, timeoutMilliseconds: 10_000 }));
+        const next = await pool.send(
+          buildRequestWithId(address, 'e', { ...readFields, timeoutMilliseconds: 10_000 }),
+        );
         assert.is(next.kind, 'answered');
         pool.dispose();
       },
--- /dev/null
+++ b/packages/standIns/src/node/faultyServerChecks.ts
@@ -0,0 +1,159 @@
+import fastCheck from 'fast-check';
+import * as assert from 'uvu/assert';
+import type { Disposable } from '@hickoryhoist/base/common/disposable.js';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import { FaultyServerScripts, intactBody, type ResponseDialect } from './faultyServerScripts.js';
+import { type ReceivedRequest, ScriptedServer, type ServerStep } from './scriptedServer.js';
+
+/** Result of one try, in the terms of both transports. */
+export type TryResult =
+  | { readonly kind: 'answered'; readonly status: number; readonly body: string }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'not-written' }
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** A transport under test. */
+export interface TransportUnderTest extends Disposable {
+  send(address: string, requestId: string, timeoutMilliseconds: number): Promise<TryResult>;
+}
+
+const MAX_TRIES = 3;
+const TRY_TIMEOUT_MILLISECONDS = 60;
+/** Maximum time for which an endless response may occupy a connection, far below the deadline used. */
+const MAX_ENDLESS_MILLISECONDS = 5_000;
+const ENDLESS_DEADLINE_MILLISECONDS = 20_000;
+const BYTES_PER_MEBIBYTE = 1_048_576;
+
+async function withScriptedServer(
+  dialect: ResponseDialect,
+  script: (request: ReceivedRequest) => readonly ServerStep[],
+  test: (server: ScriptedServer) => Promise<void>,
+): Promise<void> {
+  const server = new ScriptedServer({
+    requestIdHeader: dialect.requestIdHeader,
+    script,
+    logger: silentLogger,
+  });
+  await server.listen();
+  try {
+    await test(server);
+  } finally {
+    server.dispose();
+  }
+}
+
+/** Sends a request, and again while the server states that it was not run. @returns the last result. */
+async function sendWithRetries(
+  transport: TransportUnderTest,
+  server: ScriptedServer,
+  requestId: string,
+): Promise<TryResult> {
+  let result: TryResult = { kind: 'not-written' };
+  for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+    result = await transport.send(server.address, requestId, TRY_TIMEOUT_MILLISECONDS);
+    if (result.kind === 'answered' || result.kind === 'lost') {
+      return result;
+    }
+    assert.not(server.executedIds.includes(requestId), `${requestId} was run but reported as ${result.kind}`);
+  }
+  return result;
+}
+
+/**
+ * Checks over random sequences of faults on kept connections that each request gets its own whole response or a
+ * failure, that no request is run twice, and that a request that was run is never reported as not run.
+ * @throws an assertion error with the sequence and its seed.
+ */
+export async function checkFaultSequences(
+  dialect: ResponseDialect,
+  createTransport: () => TransportUnderTest,
+  runs: { readonly count: number; readonly seed: number },
+): Promise<void> {
+  const { behaviours } = new FaultyServerScripts(dialect);
+  const names = Object.keys(behaviours);
+  const sequences = fastCheck.array(fastCheck.constantFrom(...names), { minLength: 2, maxLength: 10 });
+  await fastCheck.assert(
+    fastCheck.asyncProperty(sequences, async (sequence) => {
+      const behaviourOf = (request: ReceivedRequest): readonly ServerStep[] =>
+        behaviours[sequence[request.number] ?? 'intact']?.(request) ?? [];
+      await withScriptedServer(dialect, behaviourOf, async (server) => {
+        const transport = createTransport();
+        try {
+          for (let index = 0; index < sequence.length; index += 1) {
+            const requestId = `request-${index.toString()}`;
+            const result = await sendWithRetries(transport, server, requestId);
+            if (result.kind === 'answered' && result.status === 200) {
+              assert.is(result.body, intactBody(requestId));
+            }
+          }
+        } finally {
+          transport.dispose();
+        }
+        assert.is(new Set(server.executedIds).size, server.executedIds.length, 'a request was run twice');
+      });
+    }),
+    { numRuns: runs.count, seed: runs.seed },
+  );
+}
+
+/** Names of the responses without end that `checkEndlessResponse` accepts. */
+export function endlessBehaviourNames(dialect: ResponseDialect): readonly string[] {
+  return Object.keys(new FaultyServerScripts(dialect).endlessBehaviours);
+}
+
+/** Checks that a response without end is cut off long before the deadline and reported as lost. */
+export async function checkEndlessResponse(
+  dialect: ResponseDialect,
+  createTransport: () => TransportUnderTest,
+  name: string,
+): Promise<void> {
+  const behaviour = new FaultyServerScripts(dialect).endlessBehaviours[name] ?? (() => []);
+  await withScriptedServer(dialect, behaviour, async (server) => {
+    const transport = createTransport();
+    try {
+      const startedAt = performance.now();
+      const result = await transport.send(server.address, 'request-1', ENDLESS_DEADLINE_MILLISECONDS);
+      assert.is(result.kind, 'lost');
+      assert.ok(performance.now() - startedAt < MAX_ENDLESS_MILLISECONDS, 'it lasted too long');
+    } finally {
+      transport.dispose();
+    }
+  });
+}
+
+/**
+ * Checks that many endless bodies at once stay within a bound on memory while another request gets its response.
+ * @param maxMebibytes bound on the growth of memory outside the heap.
+ */
+export async function checkEndlessResponsesTogether(
+  dialect: ResponseDialect,
+  createTransport: () => TransportUnderTest,
+  count: number,
+  maxMebibytes: number,
+): Promise<void> {
+  const { behaviours, endlessBehaviours } = new FaultyServerScripts(dialect);
+  const script = (request: ReceivedRequest): readonly ServerStep[] =>
+    (request.id === 'intact' ? behaviours.slow : endlessBehaviours['body without length'])?.(request) ?? [];
+  await withScriptedServer(dialect, script, async (server) => {
+    const transport = createTransport();
+    const before = process.memoryUsage().external;
+    let peak = before;
+    const sampler = setInterval(() => {
+      peak = Math.max(peak, process.memoryUsage().external);
+    }, 1);
+    try {
+      const endless = Array.from({ length: count }, (_unused, index) =>
+        transport.send(server.address, `endless-${index.toString()}`, ENDLESS_DEADLINE_MILLISECONDS),
+      );
+      const intact = await transport.send(server.address, 'intact', ENDLESS_DEADLINE_MILLISECONDS);
+      assert.is(intact.kind === 'answered' && intact.body, intactBody('intact'));
+      const results = await Promise.all(endless);
+      assert.ok(results.every(({ kind }) => kind === 'lost'));
+    } finally {
+      clearInterval(sampler);
+      transport.dispose();
+    }
+    const growth = (peak - before) / BYTES_PER_MEBIBYTE;
+    assert.ok(growth < maxMebibytes, `memory grew by ${growth.toFixed(0)} MiB`);
+  });
+}
--- a/packages/standIns/src/node/serverStandIn.ts
+++ b/packages/standIns/src/node/serverStandIn.ts
@@ -94,7 +94,7 @@
     const tracking = this.#holder.track(keyHash);
     try {
       if (!(await this.#acquireSlot())) {
-        refuse(response, 'shed');
+        refuse(message, response, 'shed');
         return;
       }
       try {
@@ -117,7 +117,7 @@
     await delay(this.#behaviour.serviceMilliseconds * (isCold ? COLD_START_FACTOR : 1));
     await this.#waitWhileFrozen();
     if (keyHash !== '' && this.#behaviour.checksFences && !this.#holder.owns(keyHash)) {
-      refuse(response, 'not-owner');
+      refuse(message, response, 'not-owner');
       return;
     }
     const { crashText } = this.#behaviour;
@@ -197,7 +197,8 @@
   }
 }
 
-function refuse(response: ServerResponse, refusal: ServerRefusal): void {
+function refuse(message: IncomingMessage, response: ServerResponse, refusal: ServerRefusal): void {
+  response.setHeader(headerNames.requestId, headerValue(message.headers[headerNames.requestId]));
   response.setHeader(headerNames.refusal, refusal);
   writeJson(response, REFUSAL_STATUS, { refusal });
 }
