--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -6,12 +6,23 @@
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 
 const ENTRY_VM_PREFIX = 'entry-vm/';
-/** Pause after an attempt to write this entry VM's row. */
+/** Pause after a failed attempt to write this entry VM's row. */
 const RETRY_MILLISECONDS = 500;
+/** Time after which a row that was written but has not shown up is written again; allows for a slow store. */
+const REWRITE_MILLISECONDS = 2_000;
+/**
+ * Time after writing this entry VM's row until the table is read for those that started at the same time; the VMs
+ * of a deployment start within 300 ms of each other.
+ */
+const SETTLING_MILLISECONDS = 300;
+/** A process acts on what it knows when its own row has not shown up for this long, in milliseconds. */
+const MAX_SETTLING_MILLISECONDS = 3_000;
 
 const entryVmRecordSchema = z.object({
   ipAddress: z.string(),
   incarnation: z.string(),
+  /** Absent in rows of entry VMs that run an older version. */
+  availabilityZone: z.string().default(''),
   processorCores: z.number().positive(),
   linkMegabitsPerSecond: z.number().positive(),
 });
@@ -21,6 +32,7 @@
   readonly id: string;
   readonly ipAddress: string;
   readonly incarnation: string;
+  readonly availabilityZone: string;
   /** Entry VMs with more cores take a larger share of the common work. */
   readonly processorCores: number;
   readonly linkMegabitsPerSecond: number;
@@ -35,6 +47,8 @@
 export interface EntryVmRows {
   readonly rows: ReadonlyMap<string, StoredRow>;
   readonly isLoaded: boolean;
+  /** Reads the changes of the table without waiting. */
+  poll(): void;
 }
 
 /** Keeps track of all entry VMs. Each writes a row to the store at startup and deletes it at shutdown. */
@@ -48,6 +62,9 @@
   #isWriting = false;
   #isLeaving = false;
   #nextWriteAt = 0;
+  /** When to read the table for this entry VM's row, which has been written; undefined if it has not. */
+  #pollAt: number | undefined;
+  readonly #startedAt = performance.now();
   /** This entry VM as described by its stored row. */
   #storedSelf: EntryVmRecord | undefined;
   #addressById: ReadonlyMap<string, string> = new Map();
@@ -67,6 +84,17 @@
     return this.#records;
   }
 
+  /**
+   * Whether the entry VMs that started together with this one are known. Load pattern: all entry VMs start at the
+   * same time, and none of them finds another in the table at first.
+   */
+  get isSettled(): boolean {
+    return (
+      this.#storedSelf?.incarnation === this.#self.incarnation ||
+      performance.now() - this.#startedAt > MAX_SETTLING_MILLISECONDS
+    );
+  }
+
   /** Addresses of all entry VMs except this one. */
   otherAddresses(): readonly string[] {
     return this.#otherAddresses;
@@ -116,10 +144,15 @@
   /** Writes this entry VM's row if it is missing or belongs to a previous incarnation. */
   tick(): void {
     const now = performance.now();
-    if (this.#isWriting || this.#isLeaving || !this.#rows.isLoaded || now < this.#nextWriteAt) {
+    const isStored = this.#storedSelf?.incarnation === this.#self.incarnation;
+    if (isStored || this.#isWriting || this.#isLeaving || !this.#rows.isLoaded) {
       return;
     }
-    if (this.#storedSelf?.incarnation !== this.#self.incarnation) {
+    if (this.#pollAt !== undefined && now >= this.#pollAt) {
+      this.#pollAt = undefined;
+      this.#rows.poll();
+    }
+    if (now >= this.#nextWriteAt) {
       void this.#writeOwnRow();
     }
   }
@@ -173,11 +206,13 @@
         ],
         deletes: [],
       });
+      this.#pollAt = performance.now() + SETTLING_MILLISECONDS;
+      this.#nextWriteAt = performance.now() + REWRITE_MILLISECONDS;
     } catch (error) {
+      this.#nextWriteAt = performance.now() + RETRY_MILLISECONDS;
       this.#logger.log('info', 'entry-vm-row-not-written', { reason: describeError(error) });
     } finally {
       this.#isWriting = false;
-      this.#nextWriteAt = performance.now() + RETRY_MILLISECONDS;
     }
   }
 
--- a/packages/entryVm/src/common/keyOwners.ts
+++ b/packages/entryVm/src/common/keyOwners.ts
@@ -1,8 +1,16 @@
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
-import { readAssignments, type StoredAssignment } from '@hickoryhoist/keyownership/common/assignmentStore.js';
-import { type OwnedRange, findRange } from '@hickoryhoist/keyownership/common/keyAssignment.js';
+import {
+  readAssignments,
+  type StoredAssignment,
+  toAssignmentRow,
+} from '@hickoryhoist/keyownership/common/assignmentStore.js';
+import {
+  emptyAssignment,
+  type OwnedRange,
+  findRange,
+} from '@hickoryhoist/keyownership/common/keyAssignment.js';
 import {
   applyDelta,
   decodeDelta,
@@ -17,7 +25,7 @@
 
 /** The owners of keys as known to this entry VM, from the store and from the deltas of the assigner. */
 export class KeyOwners {
-  readonly #reloadAssignments: () => void;
+  readonly #readAssignments: (attempt: number) => void;
   readonly #logger: Logger;
   readonly #onDidChange = new Emitter<void>();
   /** Recent revisions of each service's assignment with the time of their arrival, oldest first. */
@@ -26,13 +34,15 @@
   readonly #expectedRevisions = new Map<string, number>();
   #assignments: ReadonlyMap<string, StoredAssignment> = new Map();
   #behindSince: number | undefined;
+  /** Attempts to read the assignments since they fell behind. */
+  #readAttempts = 0;
 
   /** Fires when the owners of keys may have changed. */
   readonly onDidChange = this.#onDidChange.event;
 
-  /** @param reloadAssignments reads the table of assignments again. */
-  constructor(reloadAssignments: () => void, logger: Logger) {
-    this.#reloadAssignments = reloadAssignments;
+  /** @param readAssignments reads the assignments again; called with the number of attempts before. */
+  constructor(readAssignments: (attempt: number) => void, logger: Logger) {
+    this.#readAssignments = readAssignments;
     this.#logger = logger;
   }
 
@@ -52,6 +62,13 @@
     return this.#assignments.get(service);
   }
 
+  /** The current assignments as rows of the control table. */
+  assignmentRows(): readonly StoredRow[] {
+    return [...this.#assignments].map(([service, { assignment, rowVersion }]) =>
+      toAssignmentRow(service, assignment, rowVersion),
+    );
+  }
+
   /** Revision of the current assignment of each service. */
   revisions(): Record<string, number> {
     return Object.fromEntries(
@@ -66,12 +83,9 @@
 
   /** Applies a delta received from the assigner. */
   applyDelta(service: string, delta: EncodedDelta, rowVersion: number): void {
-    const known = this.#assignments.get(service);
-    if (known === undefined) {
-      return;
-    }
+    const known = this.#assignments.get(service)?.assignment ?? emptyAssignment;
     try {
-      const assignment = applyDelta(known.assignment, decodeDelta(delta));
+      const assignment = applyDelta(known, decodeDelta(delta));
       if (assignment !== undefined) {
         this.#setAssignments(new Map(this.#assignments).set(service, { assignment, rowVersion }));
       }
@@ -82,7 +96,7 @@
 
   /**
    * Compares the assignments with the assigner's revisions. If they stay behind, a datagram with a delta was lost,
-   * and the assignments are read from the store.
+   * and the assignments are read again.
    */
   expectRevisions(revisions: Readonly<Record<string, number>>): void {
     for (const [service, revision] of Object.entries(revisions)) {
@@ -95,13 +109,15 @@
     const now = performance.now();
     if (!isBehind) {
       this.#behindSince = undefined;
+      this.#readAttempts = 0;
       return;
     }
     this.#behindSince ??= now;
     if (now - this.#behindSince > DELTA_ARRIVAL_MILLISECONDS) {
       this.#behindSince = undefined;
       this.#logger.log('info', 'assignment-behind');
-      this.#reloadAssignments();
+      this.#readAssignments(this.#readAttempts);
+      this.#readAttempts += 1;
     }
   }
 
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -41,6 +41,17 @@
  */
 const PROBE_AFTER_MILLISECONDS = 800;
 const PROBE_INTERVAL_MILLISECONDS = 1_000;
+/**
+ * Delay between the first probes of entry VMs of consecutive ranks. Those that would replace the assigner later need
+ * not know yet whether they reach the store.
+ */
+const PROBE_RANK_DELAY_MILLISECONDS = 120;
+/** Maximum delay of a first probe by rank. An entry VM that lost the assigner and the store must notice the latter. */
+const MAX_PROBE_RANK_DELAY_MILLISECONDS = 2_400;
+/** Interval between the probes of an entry VM that cannot reach the store and does not replace the assigner soon. */
+const FOLLOWER_PROBE_INTERVAL_MILLISECONDS = 2_000;
+/** Entry VMs of lower ranks than this probe an unreachable store less often. */
+const FREQUENT_PROBE_RANKS = 8;
 /** Limit for each service. If there are more requests in the interval, the first ones serve as a sample. */
 const MAX_KEYS_PER_REPORT = 120;
 /**
@@ -48,6 +59,8 @@
  * 75 bytes. All moves of one rebalancing, with three ranges each, and the ranges that are merged with them fit.
  */
 const MAX_DELTA_RANGES = 100;
+/** Attempts to read assignments from other entry VMs before they are read from the store. */
+const NEIGHBOUR_ATTEMPTS = 2;
 /** The row of an entry VM that sends no message for this long is deleted. If it returns, it writes it again. */
 const REMOVAL_TIMEOUT_MILLISECONDS = 8_000;
 
@@ -84,9 +97,12 @@
   #recentKeys: Record<string, number[]> = {};
   /** Value of the control table's `fullReadCount` from which on this process may assign keys. */
   #requiredFullReadCount = 0;
-  #assignerAddress: string | undefined;
+  /** The assigner that sent the last heartbeat. */
+  #assigner: { readonly id: string; readonly address: string | undefined } | undefined;
   #lastHeartbeatSentAt = 0;
   #lastHeartbeatAt = performance.now();
+  /** Time for which the assigner has not reached the store, by its last heartbeat; in milliseconds. */
+  #assignerStoreSilence = 0;
   #nextProbeAt = 0;
   #nextHeartbeatAt = 0;
   #nextReportAt = 0;
@@ -97,16 +113,21 @@
     super();
     this.#options = options;
     const { self, store, logger, controlRows, health, entryVmRegistry } = options;
-    this.owners = new KeyOwners(() => {
-      controlRows.reload();
+    this.owners = new KeyOwners((attempt) => {
+      if (attempt < NEIGHBOUR_ATTEMPTS || !health.isReachable) {
+        controlRows.readMissing(attempt);
+      } else {
+        controlRows.reload();
+      }
     }, logger);
     this.#election = new AssignerElection({
       self,
       store,
       logger,
       assignerRow: () => controlRows.rows.get(ASSIGNER_ROW_KEY),
-      rank: () => sortByBroadcastCapacity(entryVmRegistry.entryVms()).findIndex(({ id }) => id === self.id),
+      rank: () => this.#successionRank(),
       isStoreReachable: () => controlRows.isLoaded && health.isReachable,
+      isRankKnown: () => entryVmRegistry.isSettled,
       peerIds: () => entryVmRegistry.entryVms().flatMap(({ id }) => (id === self.id ? [] : [id])),
       hasEnded: ({ id, incarnation }) => entryVmRegistry.hasEnded(id, incarnation),
     });
@@ -131,7 +152,8 @@
       selfId: self.id,
       tables: options.tables,
       entryVms: () => entryVmRegistry.entryVms(),
-      mustReadStore: () => this.isAssigner,
+      assignerId: () => this.#heardAssignerId(),
+      isSettled: () => entryVmRegistry.isSettled,
       storeSilenceMilliseconds: () => health.silenceMilliseconds(),
       storeReachableMilliseconds: () => health.reachableMilliseconds(),
       isRelayed: (table, key) => table !== CONTROL_TABLE || !isAssignmentRowKey(key),
@@ -193,14 +215,15 @@
           id: message.id,
           storeSilenceMilliseconds: message.storeSilence,
         });
-        this.#assignerAddress = this.#options.entryVmRegistry.ipAddressOf(message.id);
+        this.#assigner = {
+          id: message.id,
+          address: this.#options.entryVmRegistry.ipAddressOf(message.id),
+        };
         this.#lastHeartbeatSentAt = message.sentAt;
         this.#readers.expectVersions(message.versions);
         this.owners.expectRevisions(message.assignments);
         this.#lastHeartbeatAt = performance.now();
-        if (message.storeSilence > PROBE_AFTER_MILLISECONDS) {
-          this.#probeStore();
-        }
+        this.#assignerStoreSilence = message.storeSilence;
         return;
       case 'report':
         this.#election.recordAcknowledgement({
@@ -244,10 +267,7 @@
         this.#sendHeartbeats(heldTerm.term, now);
       }
     }
-    const hasNoAssigner = !this.isAssigner && this.#isAssignerSuspected();
-    if (this.#options.controlRows.isLoaded && (hasNoAssigner || !this.#options.health.isReachable)) {
-      this.#probeStore();
-    }
+    this.#probeStoreIfDue(now);
     if (now >= this.#nextReportAt) {
       this.#nextReportAt = now + REPORT_INTERVAL_MILLISECONDS;
       this.#sendReport();
@@ -258,17 +278,46 @@
     return performance.now() - this.#lastHeartbeatAt > PROBE_AFTER_MILLISECONDS;
   }
 
+  /** Identifier of the assigner, unless it is not heard. */
+  #heardAssignerId(): string | undefined {
+    if (this.isAssigner) {
+      return this.#options.self.id;
+    }
+    return this.#isAssignerSuspected() ? undefined : this.#assigner?.id;
+  }
+
+  /** Position of this process in the order in which entry VMs replace the assigner. */
+  #successionRank(): number {
+    const { self, entryVmRegistry } = this.#options;
+    return sortByBroadcastCapacity(entryVmRegistry.entryVms()).findIndex(({ id }) => id === self.id);
+  }
+
   /**
    * Reads from the store so that the result updates its health: this process may reach the store although the
-   * assigner does not, and can then replace it.
+   * assigner does not, and can then replace it. Load pattern: hundreds of entry VMs lose the assigner or the store at
+   * the same time; they probe in the order in which they would replace the assigner.
    */
-  #probeStore(): void {
-    const { store, logger } = this.#options;
-    const now = performance.now();
-    if (now < this.#nextProbeAt) {
+  #probeStoreIfDue(now: number): void {
+    const { store, logger, controlRows, health, entryVmRegistry } = this.#options;
+    if (!entryVmRegistry.isSettled) {
+      this.#lastHeartbeatAt = now;
+    }
+    if (now < this.#nextProbeAt || !controlRows.isLoaded) {
+      return;
+    }
+    const rank = this.#successionRank();
+    const delayMilliseconds =
+      PROBE_AFTER_MILLISECONDS +
+      Math.min(rank * PROBE_RANK_DELAY_MILLISECONDS, MAX_PROBE_RANK_DELAY_MILLISECONDS);
+    const mayReplaceAssigner =
+      !this.isAssigner &&
+      (now - this.#lastHeartbeatAt > delayMilliseconds || this.#assignerStoreSilence > delayMilliseconds);
+    if (!mayReplaceAssigner && health.isReachable) {
       return;
     }
-    this.#nextProbeAt = now + PROBE_INTERVAL_MILLISECONDS;
+    this.#nextProbeAt =
+      now +
+      (rank < FREQUENT_PROBE_RANKS ? PROBE_INTERVAL_MILLISECONDS : FOLLOWER_PROBE_INTERVAL_MILLISECONDS);
     store.readTable(CONFIRMATION_TABLE).catch((error: unknown) => {
       logger.log('debug', 'store-probe-failed', { reason: describeError(error) });
     });
@@ -380,8 +429,8 @@
     const estimates = [...processingTimes()];
     if (this.isAssigner) {
       this.#recordReport(keys, estimates);
-    } else if (this.#assignerAddress !== undefined) {
-      send(this.#assignerAddress, {
+    } else if (this.#assigner?.address !== undefined) {
+      send(this.#assigner.address, {
         type: 'report',
         id: self.id,
         incarnation: self.incarnation,
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -53,6 +53,7 @@
   }),
   z.object({
     type: z.literal('reader-heartbeat'),
+    id: z.string(),
     /** Milliseconds for which the sender has reached the store. */
     storeReachable: z.number(),
     /** Milliseconds since the last response of the store while calls fail; otherwise 0. */
--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -12,6 +12,33 @@
 /** The time at which a server began to leave is kept for this long. */
 const LEAVING_RETENTION_MILLISECONDS = 60_000;
 
+/** Whether a changed row announces something new. A row that cannot be decoded does, so that all can log it. */
+export function isNewAnnouncement(
+  before: StoredRow | undefined,
+  after: StoredRow,
+  decode: (id: string, value: string) => ServerRecord,
+): boolean {
+  if (before === undefined) {
+    return true;
+  }
+  try {
+    return !isSameAnnouncement(decode(before.key, before.value), decode(after.key, after.value));
+  } catch {
+    // The registry logs the row that cannot be decoded.
+    return true;
+  }
+}
+
+/** Whether a server announces nothing new. Its remaining warm-up time is known from its first announcement. */
+function isSameAnnouncement(before: ServerRecord | undefined, after: ServerRecord): boolean {
+  return (
+    before?.phase === after.phase &&
+    before.incarnation === after.incarnation &&
+    before.address === after.address &&
+    before.service === after.service
+  );
+}
+
 /** Keeps track of servers by their announcements. Servers absent after a store outage are kept for a while. */
 export class ServerRegistry {
   readonly #decode: (id: string, value: string) => ServerRecord;
@@ -109,13 +136,7 @@
       }
       return false;
     }
-    const known = this.#servers.get(id);
-    if (
-      known?.phase === record.phase &&
-      known.incarnation === record.incarnation &&
-      known.address === record.address &&
-      known.service === record.service
-    ) {
+    if (isSameAnnouncement(this.#servers.get(id), record)) {
       return false;
     }
     this.#servers.set(id, record);
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -1,14 +1,25 @@
 import type { FeedChanges, TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
-import { broadcastCapacity, type EntryVmRecord } from './entryVmRegistry.js';
+import type { EntryVmRecord } from './entryVmRegistry.js';
+import { rankReaders } from './neighbourSelector.js';
 import type { PeerMessage } from './peerMessage.js';
 import { splitIntoBatches } from './changeBatch.js';
-import { rankByRendezvous } from './rendezvous.js';
 
-/** The second reader covers for the first while its connection to the store is unresponsive. */
-const READER_COUNT = 2;
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
-/** Without a heartbeat of any reader for this long, an entry VM reads the feeds itself: three heartbeats. */
+/** Readers beside the assigner, which reads the feeds as well. */
+const READERS_BESIDE_ASSIGNER = 1;
+const READERS_WITHOUT_ASSIGNER = 2;
+/** Time without a heartbeat of a reader after which another entry VM takes its place: three heartbeats. */
 const READER_TIMEOUT_MILLISECONDS = 600;
+/** Delay between the entry VMs of consecutive ranks that may take the place of a reader. */
+const RANK_DELAY_MILLISECONDS = 100;
+/** Maximum delay by rank of an entry VM that hears no reader at all: it may be cut off from the others. */
+const MAX_DELAY_WITHOUT_READER_MILLISECONDS = 1_000;
+/**
+ * While this many readers are heard that do not reach the store, the store is probably down for all, and others wait
+ * longer before they try: long enough for the usual outages to end.
+ */
+const MAX_FAILING_READERS = 5;
+const DELAY_IN_OUTAGE_MILLISECONDS = 6_000;
 /** A reader whose store calls have failed for longer does not count as alive. */
 const MAX_STORE_SILENCE_MILLISECONDS = 300;
 /** Reported times are capped, because receivers treat all longer times alike. */
@@ -23,8 +34,10 @@
   /** All watched tables by name. */
   readonly tables: ReadonlyMap<string, TableWatcher>;
   readonly entryVms: () => readonly EntryVmRecord[];
-  /** Whether this process must read the feeds itself. The assigner must: relayed changes may be late. */
-  readonly mustReadStore: () => boolean;
+  /** Identifier of the assigner, if it is heard. It reads the feeds itself: relayed changes may be late. */
+  readonly assignerId: () => string | undefined;
+  /** Whether the entry VMs that started together with this one are known. */
+  readonly isSettled: () => boolean;
   /** Time since the last response of the store while calls fail; otherwise 0. */
   readonly storeSilenceMilliseconds: () => number;
   /** Time for which this process has been able to reach the store; 0 during an outage. */
@@ -37,21 +50,31 @@
 /**
  * Limits the number of entry VMs that read the change feeds of the store. A few of them, the readers, relay the
  * changes to the others by datagram, so that the load on the store does not grow with the number of entry VMs.
- * An entry VM that receives no heartbeat of a reader that reaches the store reads the feeds itself.
+ * Load pattern: hundreds of entry VMs lose their readers, or the store, at the same time. They take the readers'
+ * place in the order of their ranks, and each stops when it hears one that is preferred to it.
  */
 export class StoreReaders {
   readonly #options: StoreReadersOptions;
+  /** Last heartbeat of a reader that reaches the store. */
   #lastReaderHeartbeatAt = Number.NEGATIVE_INFINITY;
+  /** Last such heartbeat of a reader that is preferred to this process. */
+  #lastPreferredHeartbeatAt = Number.NEGATIVE_INFINITY;
+  /** Time of the last heartbeat of each reader, whether it reaches the store or not. */
+  readonly #heardReaders = new Map<string, number>();
   /** Start of the longest period for which a live reader has reached the store without an outage. */
   #storeReachableSince = Number.POSITIVE_INFINITY;
   #nextHeartbeatAt = 0;
-  #isReader = true;
-  #isSelected = true;
-  #selectedFrom: readonly EntryVmRecord[] | undefined;
+  /** When the other entry VMs became known. Heartbeats are expected from then on. */
+  #settledAt: number | undefined;
+  #isReader = false;
+  /** Entry VMs in order of preference as readers, and the set that was ordered. */
+  #readerOrder: readonly string[] = [];
+  #orderedEntryVms: readonly EntryVmRecord[] | undefined;
 
   constructor(options: StoreReadersOptions) {
     this.#options = options;
     for (const table of options.tables.values()) {
+      table.setSource('relay');
       table.onDidReadFeed((changes) => {
         this.#relay(changes);
       });
@@ -64,12 +87,14 @@
   }
 
   tick(now: number): void {
-    const { mustReadStore, tables } = this.#options;
-    this.#select();
-    this.#isReader = mustReadStore() || this.#isSelected;
-    const isReaderAlive = now - this.#lastReaderHeartbeatAt < READER_TIMEOUT_MILLISECONDS;
+    const { isSettled, tables } = this.#options;
+    if (isSettled()) {
+      this.#settledAt ??= now;
+    }
+    this.#orderEntryVms();
+    this.#isReader = this.#settledAt !== undefined && this.#shouldRead(now, this.#settledAt);
     for (const table of tables.values()) {
-      table.setSource(!this.#isReader && isReaderAlive ? 'relay' : 'feed');
+      table.setSource(this.#isReader ? 'feed' : 'relay');
     }
     if (this.#isReader && now >= this.#nextHeartbeatAt) {
       this.#nextHeartbeatAt = now + HEARTBEAT_INTERVAL_MILLISECONDS;
@@ -100,11 +125,15 @@
     const { tables } = this.#options;
     switch (message.type) {
       case 'reader-heartbeat':
+        this.#heardReaders.set(message.id, now);
         if (message.storeSilence < MAX_STORE_SILENCE_MILLISECONDS) {
           const since = now - message.storeReachable;
           const hadNoLiveReader = now - this.#lastReaderHeartbeatAt > READER_TIMEOUT_MILLISECONDS;
           this.#storeReachableSince = hadNoLiveReader ? since : Math.min(since, this.#storeReachableSince);
           this.#lastReaderHeartbeatAt = now;
+          if (this.#isPreferred(message.id)) {
+            this.#lastPreferredHeartbeatAt = now;
+          }
         }
         this.expectVersions(message.versions);
         return true;
@@ -131,21 +160,58 @@
     }
   }
 
-  /** Selects the readers again if the set of entry VMs has changed. */
-  #select(): void {
-    const { selfId, entryVms } = this.#options;
-    const current = entryVms();
-    if (current !== this.#selectedFrom) {
-      this.#selectedFrom = current;
-      const candidates = current.map((entryVm) => ({ id: entryVm.id, weight: broadcastCapacity(entryVm) }));
-      this.#isSelected = rankByRendezvous('store', candidates).slice(0, READER_COUNT).includes(selfId);
+  /** Orders the entry VMs again if their set has changed. */
+  #orderEntryVms(): void {
+    const current = this.#options.entryVms();
+    if (current !== this.#orderedEntryVms) {
+      this.#orderedEntryVms = current;
+      this.#readerOrder = rankReaders(current).map(({ id }) => id);
+    }
+  }
+
+  #shouldRead(now: number, settledAt: number): boolean {
+    const { selfId, assignerId } = this.#options;
+    const assigner = assignerId();
+    if (assigner === selfId) {
+      return true;
+    }
+    const others = this.#readerOrder.filter((id) => id !== assigner);
+    // A process that is shutting down is not in the order any more.
+    const rank = others.includes(selfId) ? others.indexOf(selfId) : others.length;
+    if (rank < (assigner === undefined ? READERS_WITHOUT_ASSIGNER : READERS_BESIDE_ASSIGNER)) {
+      return true;
     }
+    const silentSince = Math.max(settledAt, this.#lastPreferredHeartbeatAt);
+    return now - silentSince > READER_TIMEOUT_MILLISECONDS + this.#replacementDelayMilliseconds(rank, now);
+  }
+
+  #replacementDelayMilliseconds(rank: number, now: number): number {
+    for (const [id, heardAt] of this.#heardReaders) {
+      if (now - heardAt > READER_TIMEOUT_MILLISECONDS) {
+        this.#heardReaders.delete(id);
+      }
+    }
+    const rankDelay = rank * RANK_DELAY_MILLISECONDS;
+    if (this.#heardReaders.size === 0) {
+      return Math.min(rankDelay, MAX_DELAY_WITHOUT_READER_MILLISECONDS);
+    }
+    // A process that reads already is not heard by itself and goes on.
+    const isCrowded = !this.#isReader && this.#heardReaders.size >= MAX_FAILING_READERS;
+    return isCrowded ? DELAY_IN_OUTAGE_MILLISECONDS + rankDelay : rankDelay;
+  }
+
+  #isPreferred(readerId: string): boolean {
+    const { selfId, assignerId } = this.#options;
+    return (
+      readerId === assignerId() || this.#readerOrder.indexOf(readerId) < this.#readerOrder.indexOf(selfId)
+    );
   }
 
   #sendHeartbeats(): void {
-    const { storeSilenceMilliseconds, storeReachableMilliseconds, sendToOthers } = this.#options;
+    const { selfId, storeSilenceMilliseconds, storeReachableMilliseconds, sendToOthers } = this.#options;
     sendToOthers({
       type: 'reader-heartbeat',
+      id: selfId,
       storeSilence: Math.round(storeSilenceMilliseconds()),
       storeReachable: Math.round(Math.min(storeReachableMilliseconds(), MAX_REPORTED_MILLISECONDS)),
       versions: this.versions(),
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -1,4 +1,5 @@
 import FakeTimers from '@sinonjs/fake-timers';
+import { delay } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableStore, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { formatLogLine, type Logger } from '@hickoryhoist/base/common/logger.js';
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
@@ -7,9 +8,15 @@
 import { MemoryRowStore } from '@hickoryhoist/standIns/common/emulator/memoryRowStore.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
-import { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
+import {
+  type NeighbourResult,
+  type NeighbourTables,
+  TableWatcher,
+} from '@hickoryhoist/store/common/tableWatcher.js';
 import { EntryVmRegistry } from '../../entryVmRegistry.js';
 import { KeyOwnershipController } from '../../keyOwnershipController.js';
+import { changesForNeighbour } from '../../neighbourChanges.js';
+import { NeighbourSelector } from '../../neighbourSelector.js';
 import type { PeerMessage } from '../../peerMessage.js';
 import { ServerRegistry } from '../../serverRegistry.js';
 
@@ -23,6 +30,7 @@
   readonly id: string;
   readonly controller: KeyOwnershipController;
   readonly disposables: DisposableStore;
+  readonly tables: ReadonlyMap<string, TableWatcher>;
   /** False while the VM is frozen: it neither sends nor receives messages, and its timers do nothing. */
   isRunning: boolean;
 }
@@ -73,6 +81,7 @@
       id,
       ipAddress: id,
       incarnation: this.#incarnations.toString(),
+      availabilityZone: 'zone-1',
       processorCores: 1,
       linkMegabitsPerSecond: 100,
     };
@@ -84,28 +93,43 @@
     };
     const health = new StoreHealth(logger);
     const store = observeRowStore(this.store.connect(id), health);
+    const selector = new NeighbourSelector(id, () => entryVmRegistry.entryVms());
+    const neighbours: NeighbourTables = {
+      readChanges: (table, after, attempt) => this.#readNeighbour(selector, table, after, attempt),
+    };
     const watch = (table: string): TableWatcher =>
       disposables.add(
-        new TableWatcher(store, { table, waitMilliseconds: 2_500, pauseMilliseconds: 10 }, logger),
+        new TableWatcher(
+          store,
+          {
+            table,
+            waitMilliseconds: 2_500,
+            pauseMilliseconds: 10,
+            maxLagMilliseconds: () => selector.maxLagMilliseconds,
+            neighbours,
+          },
+          logger,
+        ),
       );
     const controlRows = watch(CONTROL_TABLE);
     const serverRows = watch(SERVERS_TABLE);
+    const tables = new Map([
+      [CONTROL_TABLE, controlRows],
+      [SERVERS_TABLE, serverRows],
+    ]);
     const serverRegistry: ServerRegistry = new ServerRegistry(
       (_id, value) => JSON.parse(value) as ServerRecord,
       () => controller.storeReachableMilliseconds(),
       logger,
     );
-    const entryVmRegistry = new EntryVmRegistry(self, store, controlRows, logger);
+    const entryVmRegistry: EntryVmRegistry = new EntryVmRegistry(self, store, controlRows, logger);
     const controller: KeyOwnershipController = disposables.add(
       new KeyOwnershipController({
         self,
         store,
         grantClient: this.servers.clientFor(id),
         controlRows,
-        tables: new Map([
-          [CONTROL_TABLE, controlRows],
-          [SERVERS_TABLE, serverRows],
-        ]),
+        tables,
         health,
         serverRegistry,
         entryVmRegistry,
@@ -122,7 +146,7 @@
         logger,
       }),
     );
-    const vm: RigEntryVm = { id, controller, disposables, isRunning: true };
+    const vm: RigEntryVm = { id, controller, disposables, tables, isRunning: true };
     this.vms.set(id, vm);
     this.#entryVmRegistries.set(id, entryVmRegistry);
     this.#serverRegistries.set(id, serverRegistry);
@@ -194,6 +218,26 @@
 
   readonly #serverRegistries = new Map<string, ServerRegistry>();
 
+  async #readNeighbour(
+    selector: NeighbourSelector,
+    table: string,
+    after: number,
+    attempt: number,
+  ): Promise<NeighbourResult> {
+    const record = selector.select(attempt);
+    if (record === undefined) {
+      return { kind: 'use-store' };
+    }
+    await delay(1);
+    const neighbour = this.vms.get(record.id);
+    const watcher = neighbour?.tables.get(table);
+    if (watcher === undefined || neighbour?.isRunning !== true) {
+      return { kind: 'unavailable' };
+    }
+    const additionalRows = table === CONTROL_TABLE ? neighbour.controller.owners.assignmentRows() : [];
+    return changesForNeighbour(watcher, after, additionalRows) ?? { kind: 'unavailable' };
+  }
+
   #send(sender: RigEntryVm, incarnation: string, to: string, message: PeerMessage): void {
     if (this.isDropped(message)) {
       return;
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { type KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
+import { KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
 
 /** Time within which every entry VM must know that a server is leaving: the platform's `drain`. */
 const DRAIN_MILLISECONDS = 2_000;
@@ -25,6 +25,17 @@
   return [...rig.vms.keys()].filter((id) => rig.phaseOf(id, server) === 'leaving');
 }
 
+const SERVERS_OF_RELEASE = 150;
+const LAST_SERVER_OF_RELEASE = `server-of-a-release-${(SERVERS_OF_RELEASE - 1).toString()}`;
+/** Calls of the readers and the assigner around a large release: less than one for each of 60 entry VMs. */
+const MAX_CALLS_OF_RELEASE = 40;
+
+function announceLargeRelease(rig: KeyOwnershipRig): void {
+  for (let number = 0; number < SERVERS_OF_RELEASE; number += 1) {
+    rig.announce(`server-of-a-release-${number.toString()}`);
+  }
+}
+
 describe('StoreReaders', () => {
   for (const entryVms of [3, 12, 30]) {
     it(`needs no more store calls than three readers with ${entryVms.toString()} entry VMs`, async () => {
@@ -134,6 +145,118 @@
     });
   });
 
+  for (const entryVms of [30, 60]) {
+    it(`delivers a change too large to relay without a call of each of ${entryVms.toString()} entry VMs`, async () => {
+      await withKeyOwnershipRig(async (rig) => {
+        for (let number = 4; number <= entryVms; number += 1) {
+          rig.startVm(`vm-${number.toString()}`);
+        }
+        await rig.advance(5_000);
+        const before = rig.store.calls;
+        announceLargeRelease(rig);
+        await rig.advance(DRAIN_MILLISECONDS);
+        for (const id of rig.vms.keys()) {
+          assert.is(rig.phaseOf(id, LAST_SERVER_OF_RELEASE), 'ready', id);
+        }
+        const calls = rig.store.calls - before;
+        assert.ok(calls <= MAX_CALLS_OF_RELEASE, `${calls.toString()} calls`);
+      });
+    });
+  }
+
+  it('delivers a change too large to relay to an entry VM that the store rejects', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      for (let number = 4; number <= 12; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      await rig.advance(5_000);
+      const rejected = [...rig.vms.values()].filter(({ controller }) => !controller.isReader).slice(0, 4);
+      rejected.forEach(({ id }) => {
+        rig.store.refuse(id, true);
+      });
+      await rig.advance(1_000);
+      announceLargeRelease(rig);
+      await rig.advance(DRAIN_MILLISECONDS);
+      for (const { id } of rejected) {
+        assert.is(rig.phaseOf(id, LAST_SERVER_OF_RELEASE), 'ready', id);
+      }
+    });
+  });
+
+  it('needs four calls to the store for each entry VM that starts', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      const countCallsOfStart = async (): Promise<number> => {
+        const before = rig.store.calls;
+        await rig.advance(3_000);
+        return rig.store.calls - before;
+      };
+      const idle = await countCallsOfStart();
+      const started = 27;
+      for (let number = 4; number < 4 + started; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      const calls = await countCallsOfStart();
+      assert.ok(calls - idle <= 4 * started, `${(calls - idle).toString()} calls`);
+    });
+  });
+
+  it('needs few calls while many entry VMs start together and the store is slow', async () => {
+    const rig = new KeyOwnershipRig();
+    const started = 60;
+    try {
+      rig.store.setCondition({ kind: 'slow', answerMilliseconds: 400 });
+      for (let number = 1; number <= started; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      await rig.advance(6_000);
+      assert.is(rig.assigners.length, 1);
+      assert.ok(rig.store.calls <= 5 * started, `${rig.store.calls.toString()} calls`);
+    } finally {
+      rig.dispose();
+    }
+  });
+
+  it('replaces the readers and the assigner when all of them fail, with few calls', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      for (let number = 4; number <= 60; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      await rig.advance(5_000);
+      readerIds(rig).forEach((id) => {
+        rig.kill(id);
+      });
+      const before = rig.store.calls;
+      await rig.advance(1_500);
+      rig.announce('server-4', 'leaving');
+      await rig.advance(DRAIN_MILLISECONDS);
+      assert.is(entryVmsAwareOfLeaving(rig, 'server-4').length, rig.vms.size);
+      assert.ok(readerIds(rig).length <= 3, readerIds(rig).join());
+      const calls = rig.store.calls - before;
+      assert.ok(calls <= 2 * rig.vms.size, `${calls.toString()} calls`);
+    });
+  });
+
+  it('needs less than a call a second for each entry VM while the store is down, and recovers after it', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      for (let number = 4; number <= 60; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      await rig.advance(5_000);
+      const before = rig.store.calls;
+      const outageSeconds = 9;
+      rig.store.setCondition({ kind: 'down' });
+      await rig.advance(outageSeconds * 1_000);
+      const calls = rig.store.calls - before;
+      assert.ok(calls <= outageSeconds * rig.vms.size, `${calls.toString()} calls`);
+      rig.store.setCondition({ kind: 'working' });
+      await rig.advance(2_000);
+      rig.announce('server-4', 'leaving');
+      await rig.advance(DRAIN_MILLISECONDS);
+      assert.is(entryVmsAwareOfLeaving(rig, 'server-4').length, rig.vms.size);
+      assert.is(rig.assigners.length, 1);
+    });
+  });
+
   it('removes servers that left while one entry VM was partitioned, without waiting for their return', async () => {
     await withKeyOwnershipRig(async (rig) => {
       await rig.advance(3_000);
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -12,6 +12,7 @@
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
+import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
@@ -20,10 +21,12 @@
 import type { EntryVmSettings } from '../common/entryVmSettings.js';
 import { EntryVmRegistry } from '../common/entryVmRegistry.js';
 import { KeyOwnershipController } from '../common/keyOwnershipController.js';
+import { NeighbourSelector } from '../common/neighbourSelector.js';
 import type { PlatformBinding } from '../common/platformBinding.js';
-import { ServerRegistry } from '../common/serverRegistry.js';
+import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
 import { CallerServer, type CompletedRequest } from './callerServer.js';
 import { PeerSocket } from './peerSocket.js';
+import { TableExchange } from './tableExchange.js';
 import { TextServer } from './textServer.js';
 
 /**
@@ -57,6 +60,7 @@
   readonly #serverRows: TableWatcher;
   readonly #controlRows: TableWatcher;
   readonly #tables: ReadonlyMap<string, TableWatcher>;
+  readonly #tableExchange: TableExchange;
   readonly #serverRegistry: ServerRegistry;
   readonly #entryVmRegistry: EntryVmRegistry;
   readonly #slots: CoordinatedSlots;
@@ -75,23 +79,47 @@
     this.#settings = settings;
     this.#binding = binding;
     this.#logger = logger;
-    const { id, ipAddress, processorCores, linkMegabitsPerSecond } = settings;
+    const { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond } = settings;
     const incarnation = randomUUID().slice(0, 8);
-    const self = { id, ipAddress, processorCores, linkMegabitsPerSecond, incarnation };
+    const self = { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond, incarnation };
     this.#health = new StoreHealth(logger);
     const store = observeRowStore(binding.store, this.#health, (kind, outcome) => {
       this.metrics.count('hickoryhoist_store_calls_total', { kind, outcome });
     });
-    const watch = (table: string, pauseMilliseconds: number): TableWatcher =>
+    const selector = new NeighbourSelector(id, () => this.#entryVmRegistry.entryVms());
+    this.#tableExchange = this.register(
+      new TableExchange({
+        tables: () => this.#tables,
+        additionalRows: (table) =>
+          table === CONTROL_TABLE ? this.#keyOwnership.owners.assignmentRows() : [],
+        selector,
+        port: settings.peerPort,
+        logger,
+      }),
+    );
+    const watch = (
+      table: string,
+      pauseMilliseconds: number,
+      isRelevantChange: (before: StoredRow | undefined, after: StoredRow) => boolean = () => true,
+    ): TableWatcher =>
       this.register(
         new TableWatcher(
           store,
-          { table, waitMilliseconds: FEED_WAIT_MILLISECONDS, pauseMilliseconds },
+          {
+            table,
+            waitMilliseconds: FEED_WAIT_MILLISECONDS,
+            pauseMilliseconds,
+            isRelevantChange,
+            maxLagMilliseconds: () => selector.maxLagMilliseconds,
+            neighbours: this.#tableExchange,
+          },
           logger,
         ),
       );
     this.#configurationRows = watch(binding.configurationTable, CONFIGURATION_PAUSE_MILLISECONDS);
-    this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS);
+    this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, (before, after) =>
+      isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
+    );
     this.#controlRows = watch(CONTROL_TABLE, CONTROL_PAUSE_MILLISECONDS);
     this.#tables = new Map([
       [binding.configurationTable, this.#configurationRows],
@@ -195,6 +223,7 @@
     const { callerAddress, readinessAddress, metricsAddress, ipAddress, id, availabilityZone } =
       this.#settings;
     await this.#peerSocket.listen(ipAddress);
+    await this.#tableExchange.listen(ipAddress);
     await this.#callerServer.listen(callerAddress);
     await this.#readinessServer.listen(readinessAddress);
     await this.#metricsServer.listen(metricsAddress);
--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -75,6 +75,8 @@
   /** Rank of this process among the candidates; 0 campaigns first. */
   readonly rank: () => number;
   readonly isStoreReachable: () => boolean;
+  /** Whether the other candidates are known, so that the rank is valid. */
+  readonly isRankKnown: () => boolean;
   /** Identifiers of all other processes that can be elected. */
   readonly peerIds: () => readonly string[];
   /** Whether the given incarnation of a process is known to have ended. */
@@ -196,6 +198,7 @@
     if (this.#heldTerm !== undefined && row !== undefined && row.row.term > this.#heldTerm.term) {
       this.stepDown(`the store records term ${row.row.term.toString()}`);
     }
+    this.#delayElectionTimer();
     if (this.#isStoreCallPending) {
       return;
     }
@@ -251,6 +254,22 @@
     }
   }
 
+  /**
+   * Keeps candidates from campaigning at the same time after all of them started or the store was down: they start
+   * to count the delays of their ranks once they know them and reach the store.
+   */
+  #delayElectionTimer(): void {
+    const now = performance.now();
+    if (!this.#options.isRankKnown()) {
+      this.#electionTimerStartedAt = now;
+    } else if (!this.#options.isStoreReachable()) {
+      this.#electionTimerStartedAt = Math.max(
+        this.#electionTimerStartedAt,
+        now - HEARTBEAT_TIMEOUT_MILLISECONDS,
+      );
+    }
+  }
+
   #readRow(): { row: AssignerRow; version: number } | undefined {
     const stored = this.#options.assignerRow();
     if (stored === undefined || stored.version === this.#lastReadRow?.version) {
--- a/packages/keyOwnership/src/common/assignmentStore.ts
+++ b/packages/keyOwnership/src/common/assignmentStore.ts
@@ -22,6 +22,12 @@
   return key.startsWith(ASSIGNMENT_PREFIX);
 }
 
+/** The row that holds an assignment. */
+export function toAssignmentRow(service: string, assignment: KeyAssignment, rowVersion: number): StoredRow {
+  const key = ASSIGNMENT_PREFIX + service;
+  return { table: CONTROL_TABLE, key, value: encodeAssignment(assignment), version: rowVersion };
+}
+
 /** Merges newer rows into the known assignments. A row that cannot be decoded leaves the known assignment in place. */
 export function readAssignments(
   rows: ReadonlyMap<string, StoredRow>,
--- a/packages/store/src/common/storeHealth.ts
+++ b/packages/store/src/common/storeHealth.ts
@@ -11,11 +11,12 @@
   readonly #onDidRegain = new Emitter<void>();
   #isReachable = false;
   #hasFailed = false;
-  #lastSuccessAt = Number.NEGATIVE_INFINITY;
+  /** Time of the last successful call, or of the start if there was none. */
+  #lastSuccessAt = performance.now();
   #reachableSince = Number.POSITIVE_INFINITY;
   #failingSince: number | undefined;
 
-  /** Fires when the store becomes reachable: on the first success, and on the first one after an outage. */
+  /** Fires on the first success after calls have failed, when the store becomes reachable. */
   readonly onDidBecomeReachable = this.#onDidRegain.event;
 
   constructor(logger: Logger) {
@@ -46,7 +47,9 @@
       this.#reachableSince = this.#hasFailed ? now : Number.NEGATIVE_INFINITY;
       this.#isReachable = true;
       this.#logger.log('info', 'store-reachable');
-      this.#onDidRegain.fire();
+      if (this.#hasFailed) {
+        this.#onDidRegain.fire();
+      }
     }
   }
 
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -10,8 +10,11 @@
 /** Maximum random addition to a backoff, as a fraction of it. Keeps the retries of entry VMs from synchronizing. */
 const JITTER_RATIO = 0.3;
 
-/** Time for which the copy may lag behind a version that another process has seen, in milliseconds. */
-const MAX_LAG_MILLISECONDS = 300;
+/** Number of deletions to remember for processes that read changes from this one. */
+const MAX_DELETIONS = 500;
+
+/** Default of `maxLagMilliseconds`. */
+export const DEFAULT_MAX_LAG_MILLISECONDS = 300;
 
 /** Which table to watch, and how often to read its feed. */
 export interface TableWatcherOptions {
@@ -20,17 +23,52 @@
   readonly waitMilliseconds: number;
   /** Delay after a change before the next call, so that one call returns several quick changes; in milliseconds. */
   readonly pauseMilliseconds: number;
+  /**
+   * Whether a changed row matters to other processes. `onDidReadFeed` leaves out the others while the feed is read
+   * without interruption; after one, intermediate changes of a row may have been missed, and all rows are reported.
+   */
+  readonly isRelevantChange?: (before: StoredRow | undefined, after: StoredRow) => boolean;
+  /** Time for which the copy may lag behind a version that another process has seen, in milliseconds. */
+  readonly maxLagMilliseconds?: () => number;
+  /** Another source of missing changes than the store, which is read when it has none. */
+  readonly neighbours?: NeighbourTables;
+}
+
+/** Copies of tables in other processes. */
+export interface NeighbourTables {
+  /**
+   * Reads the changes after a version. Never rejects.
+   * @param attempt number of attempts since this copy fell behind; each may read another process.
+   */
+  readChanges(table: string, after: number, attempt: number): Promise<NeighbourResult>;
 }
 
+/** Result of reading another process's copy. */
+export type NeighbourResult =
+  | ListedChanges
+  /** The process did not respond, or does not know all changes after the version. */
+  | { readonly kind: 'unavailable' }
+  /** It is the store's turn. */
+  | { readonly kind: 'use-store' };
+
 /** Source of changes: the store's change feed, or another process that reads the feed and relays it. */
 export type ChangeSource = 'feed' | 'relay';
 
+/** Changes that are known one by one. */
+export type ListedChanges = Extract<TableChanges, { kind: 'changes' }>;
+
+/** A deletion with the version up to which the changes that contained it are complete. */
+interface Deletion {
+  readonly key: string;
+  readonly version: number;
+}
+
 /** Changes that the feed returned for a given version. */
 export interface FeedChanges {
   readonly table: string;
   /** Version after which the changes were read. */
   readonly after: number;
-  readonly changes: Extract<TableChanges, { kind: 'changes' }>;
+  readonly changes: ListedChanges;
 }
 
 /**
@@ -49,6 +87,15 @@
   /** Whether the feed is to be read once without waiting for changes, whatever the source is. */
   #isPollDue = false;
   #isPolling = false;
+  /** Whether all changes since the last response of the feed were read as they happened. */
+  #isFeedContinuous = false;
+  /** Whether missing changes are to be read from a neighbour. */
+  #isCatchUpDue = false;
+  /** Attempts to read missing changes since the copy fell behind. */
+  #catchUpAttempts = 0;
+  /** Recent deletions, the oldest first, and the version from which on they are complete. */
+  readonly #deletions: Deletion[] = [];
+  #deletionsCompleteFrom = 0;
   /** Whether the whole table is to be read again. */
   #isReloadDue = false;
   #wakeUp: () => void = () => undefined;
@@ -104,18 +151,20 @@
     this.#expectedVersion = Math.max(this.#expectedVersion, version);
     if (this.#version === undefined || this.#expectedVersion <= this.#version) {
       this.#behindSince = undefined;
+      this.#catchUpAttempts = 0;
       return;
     }
     const now = performance.now();
     this.#behindSince ??= now;
-    if (now - this.#behindSince > MAX_LAG_MILLISECONDS && !this.#isPolling) {
+    const maxLagMilliseconds = this.#options.maxLagMilliseconds?.() ?? DEFAULT_MAX_LAG_MILLISECONDS;
+    if (now - this.#behindSince > maxLagMilliseconds && !this.#isPolling) {
       this.#behindSince = undefined;
       this.#logger.log('info', 'table-behind', {
         table: this.#options.table,
         version: this.#version,
         expected: this.#expectedVersion,
       });
-      this.#pollFeed();
+      this.#catchUp();
     }
   }
 
@@ -126,12 +175,28 @@
     this.#wakeUp();
   }
 
+  /** Reads the feed without waiting for changes, unless such a call is pending. */
+  poll(): void {
+    if (!this.#isPolling) {
+      this.restart();
+    }
+  }
+
   /** Reads the whole table again. */
   reload(): void {
     this.#isReloadDue = true;
     this.restart();
   }
 
+  /**
+   * Reads rows that are missing here although the version of the table is current.
+   * @param attempt number of attempts before this one.
+   */
+  readMissing(attempt: number): void {
+    this.#catchUpAttempts = attempt;
+    this.#catchUp();
+  }
+
   /** Sets the source of changes. A pending call to the feed is not aborted. */
   setSource(source: ChangeSource): void {
     if (this.#source !== source) {
@@ -146,19 +211,44 @@
       return;
     }
     if (after > this.#version) {
-      this.#pollFeed();
+      this.expectVersion(changes.newestChange);
+      this.#catchUp();
       return;
     }
     this.#apply(changes);
   }
 
   /**
-   * Reads the feed without waiting for changes, unless such a call is pending. Aborting that call would lose both the
-   * changes it returns and the evidence that the store does not respond.
+   * Changes of this copy after a version, for another process.
+   * @returns undefined if deletions since then are no longer known.
    */
-  #pollFeed(): void {
-    if (!this.#isPolling) {
-      this.restart();
+  changesAfter(after: number): ListedChanges | undefined {
+    const version = this.#version;
+    if (version === undefined || after < this.#deletionsCompleteFrom) {
+      return undefined;
+    }
+    return {
+      kind: 'changes',
+      rows: [...this.#rows.values()].filter((row) => row.version > after),
+      deletedKeys: [
+        ...new Set(this.#deletions.filter((deletion) => deletion.version > after).map(({ key }) => key)),
+      ],
+      newestChange: this.#newestChange,
+      version,
+    };
+  }
+
+  /**
+   * Reads missing changes, unless such a call is pending. Aborting that call would lose both the changes it returns
+   * and the evidence that the store does not respond.
+   */
+  #catchUp(): void {
+    if (this.#source === 'feed' || this.#options.neighbours === undefined) {
+      this.poll();
+    } else if (!this.#isPolling) {
+      this.#isCatchUpDue = true;
+      this.#waitAbort?.abort();
+      this.#wakeUp();
     }
   }
 
@@ -169,6 +259,7 @@
         await this.#advance();
         this.#backoffMilliseconds = INITIAL_BACKOFF_MILLISECONDS;
       } catch (error) {
+        this.#isFeedContinuous = false;
         if (this.#waitAbort?.signal.aborted === true) {
           this.#waitAbort = undefined;
           continue;
@@ -195,7 +286,13 @@
       await this.#reloadTable();
       return;
     }
+    if (this.#isCatchUpDue) {
+      this.#isCatchUpDue = false;
+      await this.#readNeighbour(this.#version);
+      return;
+    }
     if (this.#source === 'relay' && !this.#isPollDue) {
+      this.#isFeedContinuous = false;
       await new Promise<void>((resolve) => {
         this.#wakeUp = resolve;
       });
@@ -219,20 +316,54 @@
         await this.#readTable();
         return;
       case 'changes': {
+        const relevantRows = this.#isFeedContinuous ? this.#relevantRows(changes.rows) : changes.rows;
+        this.#isFeedContinuous = true;
         const isChanged = this.#apply(changes);
         if (isChanged) {
-          this.#onDidReadFeed.fire({ table, after, changes });
+          this.#onDidReadFeed.fire({ table, after, changes: { ...changes, rows: relevantRows } });
           await delay(pauseMilliseconds);
         }
       }
     }
   }
 
-  #apply({ version, newestChange, deletedKeys, rows }: FeedChanges['changes']): boolean {
+  #relevantRows(rows: readonly StoredRow[]): readonly StoredRow[] {
+    const { isRelevantChange } = this.#options;
+    return isRelevantChange === undefined
+      ? rows
+      : rows.filter((row) => isRelevantChange(this.#rows.get(row.key), row));
+  }
+
+  /** Reads missing changes from another process, or sees to it that they are read from the store. */
+  async #readNeighbour(after: number): Promise<void> {
+    const { table, neighbours } = this.#options;
+    const attempt = this.#catchUpAttempts;
+    this.#catchUpAttempts += 1;
+    this.#isPolling = true;
+    let result: NeighbourResult | undefined;
+    try {
+      result = await neighbours?.readChanges(table, after, attempt);
+    } finally {
+      this.#isPolling = false;
+    }
+    switch (result?.kind) {
+      case 'changes':
+        this.#apply(result);
+        return;
+      case 'unavailable':
+        return;
+      case 'use-store':
+      case undefined:
+        this.#isPollDue = true;
+    }
+  }
+
+  #apply({ version, newestChange, deletedKeys, rows }: ListedChanges): boolean {
     if (version < (this.#version ?? 0)) {
       // The other source has delivered a newer version, in which rows deleted here may have been written again.
       return false;
     }
+    this.#recordDeletions(deletedKeys, version);
     this.#version = Math.max(this.#version ?? 0, version);
     this.#newestChange = Math.max(this.#newestChange, newestChange);
     if (rows.length === 0 && deletedKeys.length === 0) {
@@ -262,9 +393,14 @@
   async #readTable(): Promise<void> {
     const snapshot = await this.#store.readTable(this.#options.table);
     const keys = new Set(snapshot.rows.map(({ key }) => key));
-    for (const key of [...this.#rows.keys()].filter((known) => !keys.has(known))) {
+    const deletedKeys = [...this.#rows.keys()].filter((known) => !keys.has(known));
+    for (const key of deletedKeys) {
       this.#rows.delete(key);
     }
+    if (this.#version === undefined) {
+      this.#deletionsCompleteFrom = snapshot.version;
+    }
+    this.#recordDeletions(deletedKeys, snapshot.version);
     snapshot.rows.forEach((row) => {
       this.#putIfNewer(row);
     });
@@ -273,6 +409,13 @@
     this.#onDidChange.fire();
   }
 
+  #recordDeletions(keys: readonly string[], version: number): void {
+    this.#deletions.push(...keys.map((key) => ({ key, version })));
+    for (const { version: forgotten } of this.#deletions.splice(0, this.#deletions.length - MAX_DELETIONS)) {
+      this.#deletionsCompleteFrom = Math.max(this.#deletionsCompleteFrom, forgotten);
+    }
+  }
+
   #putIfNewer(row: StoredRow): void {
     if (row.version >= (this.#rows.get(row.key)?.version ?? 0)) {
       this.#rows.set(row.key, row);
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -5,7 +5,13 @@
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { observeRowStore } from '../observedRowStore.js';
 import { StoreHealth } from '../storeHealth.js';
-import { TableWatcher } from '../tableWatcher.js';
+import {
+  type FeedChanges,
+  type NeighbourResult,
+  type NeighbourTables,
+  TableWatcher,
+  type TableWatcherOptions,
+} from '../tableWatcher.js';
 
 const TABLE = 'control';
 
@@ -16,13 +22,14 @@
     clock: FakeTimers.Clock,
     health: StoreHealth,
   ) => Promise<void>,
+  extraOptions: Partial<TableWatcherOptions> = {},
 ): Promise<void> {
   const clock = FakeTimers.install({
     now: 0,
     toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
   });
   const store = new MemoryRowStore();
-  const options = { table: TABLE, waitMilliseconds: 10_000, pauseMilliseconds: 10 };
+  const options = { table: TABLE, waitMilliseconds: 10_000, pauseMilliseconds: 10, ...extraOptions };
   const health = new StoreHealth(silentLogger);
   const watcher = new TableWatcher(observeRowStore(store.connect('vm'), health), options, silentLogger);
   try {
@@ -239,3 +246,118 @@
     });
   });
 });
+
+describe('TableWatcher with neighbours', () => {
+  const changesUpTo = (version: number, fields: Partial<FeedChanges['changes']> = {}): NeighbourResult => ({
+    kind: 'changes',
+    rows: [],
+    deletedKeys: [],
+    newestChange: version,
+    version,
+    ...fields,
+  });
+
+  /** Runs a test with a copy that relays keep up to date and that has just fallen behind version 1,000. */
+  async function withLaggingWatcher(
+    respond: (attempt: number) => NeighbourResult,
+    test: (store: MemoryRowStore, watcher: TableWatcher, calls: () => number) => void | Promise<void>,
+  ): Promise<void> {
+    const neighbours: NeighbourTables = {
+      readChanges: (_table, _after, attempt) => Promise.resolve(respond(attempt)),
+    };
+    await withWatcher(
+      async (store, watcher, clock) => {
+        store.put(TABLE, 'a', 'one');
+        await clock.tickAsync(50);
+        watcher.setSource('relay');
+        await clock.tickAsync(11_000);
+        const { calls } = store;
+        for (let elapsed = 0; elapsed < 2_000; elapsed += 200) {
+          watcher.expectVersion(1_000);
+          await clock.tickAsync(200);
+        }
+        await test(store, watcher, () => store.calls - calls);
+      },
+      { neighbours },
+    );
+  }
+
+  it('reads missing changes from a neighbour without a call to the store', async () => {
+    const rows = [{ table: TABLE, key: 'a', value: 'two', version: 1_000 }];
+    await withLaggingWatcher(
+      () => changesUpTo(1_000, { rows }),
+      (_store, watcher, calls) => {
+        assert.is(watcher.rows.get('a')?.value, 'two');
+        assert.is(calls(), 0);
+      },
+    );
+  });
+
+  it('never returns to an older version of a row, and ignores a copy that is older than its own', async () => {
+    const older = { table: TABLE, key: 'a', value: 'zero', version: 0 };
+    await withLaggingWatcher(
+      (attempt) =>
+        attempt === 0 ? changesUpTo(0, { deletedKeys: ['a'] }) : changesUpTo(1_000, { rows: [older] }),
+      (_store, watcher) => {
+        assert.is(watcher.rows.get('a')?.value, 'one');
+      },
+    );
+  });
+
+  it('asks the next neighbour, and the store last', async () => {
+    const attempts: number[] = [];
+    await withLaggingWatcher(
+      (attempt) => {
+        attempts.push(attempt);
+        return attempt < 2 ? { kind: 'unavailable' } : { kind: 'use-store' };
+      },
+      (_store, _watcher, calls) => {
+        assert.equal(attempts.slice(0, 3), [0, 1, 2]);
+        assert.ok(calls() >= 1);
+      },
+    );
+  });
+
+  it('offers changes and deletions after a version, and none when it does not know all of them', async () => {
+    await withWatcher(async (store, watcher, clock) => {
+      assert.is(watcher.changesAfter(-1), undefined);
+      store.put(TABLE, 'a', 'one');
+      store.put(TABLE, 'b', 'one');
+      await clock.tickAsync(50);
+      const version = watcher.newestChange;
+      store.delete(TABLE, 'a');
+      store.put(TABLE, 'c', 'one');
+      await clock.tickAsync(50);
+      const changes = watcher.changesAfter(version);
+      assert.equal(
+        changes?.rows.map(({ key }) => key),
+        ['c'],
+      );
+      assert.equal(changes?.deletedKeys, ['a']);
+      for (let number = 0; number < 600; number += 1) {
+        store.put(TABLE, 'd', 'one');
+        store.delete(TABLE, 'd');
+        await clock.tickAsync(20);
+      }
+      assert.is(watcher.changesAfter(version), undefined);
+    });
+  });
+
+  it('reports only relevant changes to other processes', async () => {
+    await withWatcher(
+      async (store, watcher, clock) => {
+        const reported: string[] = [];
+        watcher.onDidReadFeed(({ changes }) => {
+          reported.push(...changes.rows.map(({ key, value }) => `${key}=${value}`));
+        });
+        store.put(TABLE, 'a', 'one');
+        await clock.tickAsync(50);
+        store.put(TABLE, 'a', 'one, still');
+        await clock.tickAsync(50);
+        assert.equal(reported, ['a=one']);
+        assert.is(watcher.rows.get('a')?.value, 'one, still');
+      },
+      { isRelevantChange: (before, after) => before === undefined || !after.value.endsWith('still') },
+    );
+  });
+});
