Write the responses of late requests before a planned stop ends the process

Cause: at the end of its shutdown a process that gets little processor time has passed the deadlines of its requests before it has read the responses that servers have sent. It ended with requests in flight: two requests that a server had run got a closed connection (first evidence: event=stopped inFlight=2 milliseconds=707, then status=200 for both). Change: up to 50 ms before it would be killed, the process goes on reading and writing while a request is in flight. A response that cannot be written because its connection is closed is logged (response-not-delivered); request-ended alone said status=200. Ruled out: the end of the grace period itself; the process was not killed.

--- a/packages/entryVm/src/node/callerServer.ts
+++ b/packages/entryVm/src/node/callerServer.ts
@@ -297,6 +297,10 @@
     body: Buffer,
   ): void {
     if (response.destroyed) {
+      this.#options.logger.log('info', 'response-not-delivered', {
+        request: firstHeaderValue(response.req.headers, this.#options.protocol.requestIdHeader),
+        status,
+      });
       return;
     }
     response.writeHead(status, {
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { delay } from '@hickoryhoist/base/common/asynchronous.js';
+import { delay, waitForPendingIo } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
@@ -45,8 +45,12 @@
 /** Margin between the end of the shutdown and the time at which the process is killed. */
 const STOP_RESERVE_MILLISECONDS = 300;
 const STOP_POLL_MILLISECONDS = 50;
+/** Interval at which a late process checks whether its last responses are written. */
+const LATE_POLL_MILLISECONDS = 5;
 /** Time before the end of the shutdown by which the last response must be written: two polls. */
 const LAST_RESPONSE_MILLISECONDS = 2 * STOP_POLL_MILLISECONDS;
+/** Part of the reserve that late responses may not use, so that the process ends by itself. */
+const EXIT_MILLISECONDS = 50;
 
 /** Wires the components of an entry VM together and runs its servers and timers. */
 export class EntryVm extends DisposableBase {
@@ -250,6 +254,7 @@
     while (performance.now() < stopDeadline && this.#callerServer.inFlight > 0) {
       await delay(STOP_POLL_MILLISECONDS);
     }
+    await this.#finishLateRequests(startedAt + this.#settings.stopGraceMilliseconds - EXIT_MILLISECONDS);
     this.#logger.log('info', 'stopped', {
       inFlight: this.#callerServer.inFlight,
       milliseconds: Math.round(performance.now() - startedAt),
@@ -257,6 +262,17 @@
     this.dispose();
   }
 
+  /**
+   * Waits for requests whose deadline has passed without an outcome. Load pattern: a process that gets little
+   * processor time reaches the end of its shutdown before it has read responses that servers have sent.
+   */
+  async #finishLateRequests(until: number): Promise<void> {
+    while (this.#callerServer.inFlight > 0 && performance.now() < until) {
+      await waitForPendingIo();
+      await delay(LATE_POLL_MILLISECONDS);
+    }
+  }
+
   #connectComponents(): void {
     this.register(
       this.#health.onDidBecomeReachable(() => {
--- a/packages/standIns/src/node/processRig.ts
+++ b/packages/standIns/src/node/processRig.ts
@@ -28,6 +28,8 @@
   readonly address: string;
   /** Resolves with the exit code when the process has exited, or with undefined when a signal ended it. */
   readonly exited: Promise<number | undefined>;
+  /** Script and first argument, for error messages. */
+  readonly description: string;
 }
 
 /** An entry VM process; `address` is its caller address. */
@@ -107,6 +109,19 @@
     return this.#spawn('daemon/src/node/hickoryhoistMain.ts', args, '').exited;
   }
 
+  /** One line for each process started: its address and how it ended, as evidence for a failed test. */
+  describeProcesses(): string {
+    return this.#processes
+      .map(({ description, address, child }) => {
+        const state =
+          child.exitCode === null && child.signalCode === null
+            ? 'running'
+            : `exit code ${String(child.exitCode)}, signal ${String(child.signalCode)}`;
+        return `${description} ${address} process ${String(child.pid)}: ${state}`;
+      })
+      .join('\n');
+  }
+
   dispose(): void {
     for (const { child } of this.#processes) {
       if (child.exitCode === null && child.signalCode === null) {
@@ -126,7 +141,7 @@
         resolve(code ?? undefined);
       });
     });
-    const rigProcess = { child, address, exited };
+    const rigProcess = { child, address, exited, description: `${script} ${args[0] ?? ''}` };
     this.#processes.push(rigProcess);
     return rigProcess;
   }
--- a/packages/standIns/src/node/test/failures.process.test.ts
+++ b/packages/standIns/src/node/test/failures.process.test.ts
@@ -2,6 +2,7 @@
 import { join } from 'node:path';
 import { request } from 'undici';
 import * as assert from 'uvu/assert';
+import { describeError } from '@hickoryhoist/base/common/errors.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import {
   type EntryVmRigProcess,
@@ -71,6 +72,8 @@
       });
     }
     await body({ rig, servers, entryVms });
+  } catch (error) {
+    throw new Error(`${describeError(error)}\n${rig.describeProcesses()}`, { cause: error });
   } finally {
     rig.dispose();
   }
