Run the disabled mechanisms on a complete copy, and count a run without a test as no detection

Cause: the scratch copy lacked the folder platform, which the test command lists. Each run ended before its first test, and its exit code counted as a detection. Change: the copy is complete; a mechanism is detected only if a test failed, and 'no-test-ran' counts as failed.

Also in this commit: slot requests are queued by rank and goal for each server, those that the servers as they are cannot serve before their deadline are refused at once, and refused callers return one after the other.

--- /dev/null
+++ b/packages/dispatch/src/common/slotRequest.ts
@@ -0,0 +1,13 @@
+/** A request for a slot of a server. Times are milliseconds on the scheduler's clock. */
+export interface SlotRequest {
+  readonly id: string;
+  /** The server that owns the key; undefined if any server of the service can run the request. */
+  readonly serverId: string | undefined;
+  /** Servers on which an attempt of this request failed. */
+  readonly excludedIds: readonly string[];
+  readonly availabilityZone: string;
+  readonly rank: number;
+  readonly bodyBytes: number;
+  readonly goalAt: number;
+  readonly deadlineAt: number;
+}
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -1,5 +1,8 @@
 import type { ProcessingTimeEstimate } from './processingTimes.js';
+import { ReturnSchedule } from './returnSchedule.js';
 import { type AttemptOutcome, ServerStatistics } from './serverStatistics.js';
+import { SlotQueue } from './slotQueue.js';
+import type { SlotRequest } from './slotRequest.js';
 
 /** Requests sent to a server beyond its slots, so that it does not idle while the next one is in transit. */
 const QUEUED_PER_SERVER = 1;
@@ -7,9 +10,10 @@
 const INITIAL_PROCESSING_MILLISECONDS = 100;
 /** Weight of a new sample in the average processing time of the service. */
 const AVERAGE_SMOOTHING = 0.05;
-/** Bounds of the retry delay sent with a refusal, in milliseconds. */
-const MIN_RETRY_AFTER_MILLISECONDS = 50;
-const MAX_RETRY_AFTER_MILLISECONDS = 1_500;
+/** Wait that is assumed for a service without servers, in milliseconds. */
+const NO_SERVER_WAIT_MILLISECONDS = 500;
+/** Key of the queue of requests that any server of the service can run. No server has this identifier. */
+const POOL = '';
 /** Body size from which servers of the same availability zone are preferred, in bytes. */
 const LARGE_BODY_BYTES = 10_000;
 /** Factor on the expected cost of a server in another availability zone, for large bodies. */
@@ -20,20 +24,6 @@
  */
 const MAX_LATE_WAIT_SHARE = 0.2;
 
-/** A request for a slot of a server. Times are milliseconds on the scheduler's clock. */
-export interface SlotRequest {
-  readonly id: string;
-  /** The server that owns the key; undefined if any server of the service can run the request. */
-  readonly serverId: string | undefined;
-  /** Servers on which an attempt of this request failed. */
-  readonly excludedIds: readonly string[];
-  readonly availabilityZone: string;
-  readonly rank: number;
-  readonly bodyBytes: number;
-  readonly goalAt: number;
-  readonly deadlineAt: number;
-}
-
 /** Reason why a slot request is refused. */
 export type SlotRefusal = 'no-server' | 'overloaded' | 'unreachable';
 
@@ -75,9 +65,25 @@
 /** Time after a request's deadline at which a slot that was not released is reclaimed, in milliseconds. */
 const GRANT_EXPIRY_SLACK_MILLISECONDS = 500;
 
+/** Capacity of the servers that can run a request. */
+interface Capacity {
+  /** Attempts in flight, and slots. */
+  inFlight: number;
+  slots: number;
+  /** Completed requests per millisecond while all slots are busy. */
+  completionRate: number;
+  /** Sum of the expected processing times in milliseconds, and number of servers. */
+  totalMilliseconds: number;
+  servers: number;
+}
+
 /**
  * Grants the slots of one service's servers. Requests without a free slot are queued here instead of at a
  * server, because here they can still be reordered or refused. Methods take the current time and do no I/O.
+ *
+ * Load pattern: many more requests than slots, for some owners of keys or for the whole service, while servers turn
+ * slow or fail. What cannot be served before its deadline is refused as soon as that is known, and the cost of an
+ * event does not depend on the number of requests that stay queued.
  */
 export class SlotScheduler {
   readonly #servers = new Map<
@@ -85,13 +91,17 @@
     { readonly statistics: ServerStatistics; readonly incarnation: number }
   >();
   readonly #grants = new Map<string, Grant>();
-  /** Queued slot requests in order of arrival. */
-  #queue: SlotRequest[] = [];
+  /** Queues by server, and the one of requests that any server can run. */
+  readonly #queues = new Map<string, SlotQueue>();
+  /** Key of its queue by queued request. */
+  readonly #queueKeys = new Map<string, string>();
+  /** When refused callers return, by key of the queue. */
+  readonly #returnSchedules = new Map<string, ReturnSchedule>();
   #averageMilliseconds = INITIAL_PROCESSING_MILLISECONDS;
 
   /** Number of queued slot requests. */
   get waiting(): number {
-    return this.#queue.length;
+    return this.#queueKeys.size;
   }
 
   /** Number of slots granted and not released. */
@@ -114,6 +124,7 @@
     const ids = new Set(servers.map(({ id }) => id));
     for (const id of [...this.#servers.keys()].filter((known) => !ids.has(known))) {
       this.#servers.delete(id);
+      this.#returnSchedules.delete(id);
     }
     for (const server of servers) {
       if (this.#servers.get(server.id)?.incarnation !== server.incarnation) {
@@ -128,7 +139,7 @@
         this.#servers.set(id, { statistics, incarnation });
       }
     }
-    return this.#processQueue(now);
+    return this.#reviewQueues(now);
   }
 
   submit(request: SlotRequest, now: number): readonly SlotDecision[] {
@@ -138,22 +149,24 @@
       return [this.#refuse(request, 'unreachable', owner.remainingEjectionMilliseconds(now), now)];
     }
     const server = this.#chooseServer(request, now);
-    if (server !== undefined && !this.#hasQueuedBefore(request, server)) {
-      return [this.#grant(request, server, now)];
+    if (server !== undefined && this.#countAhead(request, now) === 0) {
+      return [this.#grantOrRefuse(request, server, now)];
     }
     const refusal = this.#refusalOnArrival(request, now);
     if (refusal !== undefined) {
       return [refusal];
     }
-    this.#queue.push(request);
-    return this.#processQueue(now);
+    const key = request.serverId ?? POOL;
+    this.#queueFor(key).add(request, now);
+    this.#queueKeys.set(request.id, key);
+    return this.#processQueue(key, now);
   }
 
   /** Releases the slot of an attempt that ended, or cancels a slot request that is still queued. */
   finish(slotRequestId: string, outcome: AttemptOutcome, now: number): readonly SlotDecision[] {
     const grant = this.#grants.get(slotRequestId);
     if (grant === undefined) {
-      this.#queue = this.#queue.filter(({ id }) => id !== slotRequestId);
+      this.#dequeue(slotRequestId);
       return [];
     }
     this.#grants.delete(slotRequestId);
@@ -161,10 +174,16 @@
     if (outcome === 'answered' && milliseconds !== undefined) {
       this.#averageMilliseconds += AVERAGE_SMOOTHING * (milliseconds - this.#averageMilliseconds);
     }
-    return this.#processQueue(now);
+    const { id } = grant.server;
+    const queue = this.#queues.get(id);
+    return [
+      ...this.#processQueue(id, now),
+      ...(queue !== undefined && grant.server.isEjected(now) ? this.#refuseHopeless(id, queue, now) : []),
+      ...this.#processQueue(POOL, now),
+    ];
   }
 
-  /** Refuses queued requests that cannot meet their deadline and reclaims slots not released in time. */
+  /** Refuses queued requests that cannot meet their deadlines, and reclaims slots not released in time. */
   tick(now: number): readonly SlotDecision[] {
     for (const [slotRequestId, grant] of this.#grants) {
       if (now > grant.expiresAt) {
@@ -172,34 +191,108 @@
         grant.server.end(slotRequestId, 'cancelled', now);
       }
     }
-    return this.#processQueue(now);
+    return this.#reviewQueues(now);
   }
 
-  #processQueue(now: number): readonly SlotDecision[] {
+  /** Grants free slots, and refuses all queued requests that the servers as they are now cannot serve in time. */
+  #reviewQueues(now: number): readonly SlotDecision[] {
     const decisions: SlotDecision[] = [];
-    if (this.#queue.length === 0) {
+    for (const [key, queue] of this.#queues) {
+      decisions.push(...this.#processQueue(key, now), ...this.#refuseHopeless(key, queue, now));
+      if (queue.size === 0) {
+        this.#queues.delete(key);
+      }
+    }
+    return decisions;
+  }
+
+  /** Grants the free slots for which the requests of a queue wait. */
+  #processQueue(key: string, now: number): readonly SlotDecision[] {
+    const queue = this.#queues.get(key);
+    if (queue === undefined || queue.size === 0) {
+      return [];
+    }
+    return key === POOL ? this.#processPool(queue, now) : this.#processServerQueue(key, queue, now);
+  }
+
+  #processServerQueue(serverId: string, queue: SlotQueue, now: number): readonly SlotDecision[] {
+    const decisions: SlotDecision[] = [];
+    const server = this.#servers.get(serverId)?.statistics;
+    if (server === undefined || server.isEjected(now)) {
+      return decisions;
+    }
+    for (let first = queue.first(now); first !== undefined; first = queue.first(now)) {
+      if (!hasCapacity(server)) {
+        break;
+      }
+      this.#dequeue(first.id);
+      decisions.push(this.#grantOrRefuse(first, server, now));
+    }
+    return decisions;
+  }
+
+  #processPool(queue: SlotQueue, now: number): readonly SlotDecision[] {
+    const decisions: SlotDecision[] = [];
+    if (!this.#hasFreeServer()) {
       return decisions;
     }
-    const remaining: SlotRequest[] = [];
-    for (const request of [...this.#queue].sort((left, right) => compareRequests(left, right, now))) {
+    for (const request of queue.inOrder(now)) {
       const server = this.#chooseServer(request, now);
       if (server !== undefined) {
-        decisions.push(this.#grant(request, server, now));
-        continue;
+        this.#dequeue(request.id);
+        decisions.push(this.#grantOrRefuse(request, server, now));
+        if (!this.#hasFreeServer()) {
+          break;
+        }
+      }
+    }
+    return decisions;
+  }
+
+  #hasFreeServer(): boolean {
+    for (const { statistics } of this.#servers.values()) {
+      if (hasCapacity(statistics)) {
+        return true;
       }
-      const refusal = this.#refusalWhileQueued(request, now);
-      if (refusal === undefined) {
-        remaining.push(request);
+    }
+    return false;
+  }
+
+  #refuseHopeless(key: string, queue: SlotQueue, now: number): readonly SlotDecision[] {
+    const decisions: SlotDecision[] = [];
+    const owner = this.#servers.get(key)?.statistics;
+    const capacity = this.#capacityFor({ serverId: key === POOL ? undefined : key, excludedIds: [] }, now);
+    const processing = Math.min(processingMilliseconds(capacity), this.#averageMilliseconds);
+    const refuse = (request: SlotRequest, refusal: SlotRefusal, wait: number): void => {
+      this.#dequeue(request.id);
+      decisions.push(this.#refuse(request, refusal, wait, now));
+    };
+    let ahead = 0;
+    for (const request of queue.inOrder(now)) {
+      const wait = waitMilliseconds(capacity, ahead);
+      if (capacity.servers === 0) {
+        refuse(request, 'no-server', key === POOL ? NO_SERVER_WAIT_MILLISECONDS : 0);
+      } else if (owner?.isEjected(now) === true) {
+        refuse(request, 'unreachable', owner.remainingEjectionMilliseconds(now));
+      } else if (now + wait + processing > request.deadlineAt) {
+        refuse(request, 'overloaded', wait);
       } else {
-        decisions.push(refusal);
+        ahead += 1;
       }
     }
-    const kept = new Set(remaining);
-    this.#queue = this.#queue.filter((request) => kept.has(request));
     return decisions;
   }
 
-  #grant(request: SlotRequest, server: ServerStatistics, now: number): SlotDecision {
+  /**
+   * A request that would be cut off by its deadline is refused: the server would run it for nothing. The average of the
+   * service limits the estimate, because a server that was unresponsive has one beyond all deadlines, and recovers
+   * only if requests are sent to it.
+   */
+  #grantOrRefuse(request: SlotRequest, server: ServerStatistics, now: number): SlotDecision {
+    const processing = Math.min(server.expectedMilliseconds(now), this.#averageMilliseconds);
+    if (now + processing > request.deadlineAt) {
+      return this.#refuse(request, 'overloaded', 0, now);
+    }
     server.begin(request.id, now);
     const expiresAt = request.deadlineAt + GRANT_EXPIRY_SLACK_MILLISECONDS;
     this.#grants.set(request.id, { server, expiresAt });
@@ -215,108 +308,130 @@
     let best: ServerStatistics | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const server of this.#usableServers(request, now)) {
-      const cost = placementCost(request, server, now);
-      if (hasCapacity(server) && cost < bestCost) {
-        best = server;
-        bestCost = cost;
+      if (hasCapacity(server)) {
+        const cost = placementCost(request, server, now);
+        if (cost < bestCost) {
+          best = server;
+          bestCost = cost;
+        }
       }
     }
     return best;
   }
 
-  #usableServers(request: SlotRequest, now: number): readonly ServerStatistics[] {
+  #usableServers(
+    { excludedIds }: Pick<SlotRequest, 'excludedIds'>,
+    now: number,
+  ): readonly ServerStatistics[] {
     const all = [...this.#servers.values()].map(({ statistics }) => statistics);
-    const allowed = all.filter(({ id }) => !request.excludedIds.includes(id));
+    const allowed = excludedIds.length === 0 ? all : all.filter(({ id }) => !excludedIds.includes(id));
     const candidates = allowed.length > 0 ? allowed : all;
     const notEjected = candidates.filter((server) => !server.isEjected(now));
     return notEjected.length > 0 ? notEjected : candidates;
   }
 
-  #hasQueuedBefore(request: SlotRequest, server: ServerStatistics): boolean {
-    return this.#queue.some(
-      (other) => (other.serverId === undefined || other.serverId === server.id) && other.rank <= request.rank,
-    );
+  /** Number of queued requests that get a slot before a new one. */
+  #countAhead(request: SlotRequest, now: number): number {
+    if (request.serverId !== undefined) {
+      const pool = this.#queues.get(POOL)?.countAhead(request, now) ?? 0;
+      return pool + (this.#queues.get(request.serverId)?.countAhead(request, now) ?? 0);
+    }
+    let count = 0;
+    for (const queue of this.#queues.values()) {
+      count += queue.countAhead(request, now);
+    }
+    return count;
   }
 
   #refusalOnArrival(request: SlotRequest, now: number): SlotDecision | undefined {
-    const wait = this.#expectedWait(request, now);
-    if (wait === undefined) {
-      return this.#refuse(request, 'no-server', MAX_RETRY_AFTER_MILLISECONDS / 3, now);
+    const capacity = this.#capacityFor(request, now);
+    if (capacity.servers === 0) {
+      return this.#refuse(request, 'no-server', NO_SERVER_WAIT_MILLISECONDS, now);
     }
-    const processing = this.#expectedProcessing(request, now);
-    if (now + wait + processing <= request.goalAt) {
+    const wait = waitMilliseconds(capacity, this.#countAhead(request, now));
+    const processing = processingMilliseconds(capacity);
+    const endsAt = now + wait + processing;
+    if (endsAt <= Math.min(request.goalAt, request.deadlineAt)) {
       return undefined;
     }
     const isWaitAcceptable =
-      wait <= MAX_LATE_WAIT_SHARE * (request.deadlineAt - now) &&
-      now + wait + processing <= request.deadlineAt;
+      wait <= MAX_LATE_WAIT_SHARE * (request.deadlineAt - now) && endsAt <= request.deadlineAt;
     return isWaitAcceptable && now + processing > request.goalAt
       ? undefined
       : this.#refuse(request, 'overloaded', wait, now);
   }
 
-  #refusalWhileQueued(request: SlotRequest, now: number): SlotDecision | undefined {
-    const processing = this.#expectedProcessing(request, now);
-    if (request.serverId !== undefined && !this.#servers.has(request.serverId)) {
-      return this.#refuse(request, 'no-server', MIN_RETRY_AFTER_MILLISECONDS, now);
-    }
-    return now + processing > request.deadlineAt
-      ? this.#refuse(request, 'overloaded', processing, now)
-      : undefined;
-  }
-
   #refuse(request: SlotRequest, refusal: SlotRefusal, wait: number, now: number): SlotDecision {
-    const retryAfterMilliseconds = Math.min(
-      MAX_RETRY_AFTER_MILLISECONDS,
-      Math.max(MIN_RETRY_AFTER_MILLISECONDS, wait),
-    );
+    const key = request.serverId ?? POOL;
+    const capacity = this.#capacityFor(request, now);
+    const schedule = this.#returnSchedules.get(key) ?? new ReturnSchedule();
+    this.#returnSchedules.set(key, schedule);
+    const interval = capacity.servers === 0 ? 0 : 1 / capacity.completionRate;
     const basis: RefusalBasis = {
-      expectedWaitMilliseconds: Math.round(this.#expectedWait(request, now) ?? 0),
-      expectedWorkMilliseconds: Math.round(this.#expectedProcessing(request, now)),
-      waiting: this.#queue.length,
+      expectedWaitMilliseconds: Math.round(wait),
+      expectedWorkMilliseconds: Math.round(processingMilliseconds(capacity)),
+      waiting: this.waiting,
+    };
+    return {
+      kind: 'refused',
+      slotRequestId: request.id,
+      refusal,
+      retryAfterMilliseconds: schedule.next(wait, interval, now),
+      basis,
     };
-    return { kind: 'refused', slotRequestId: request.id, refusal, retryAfterMilliseconds, basis };
   }
 
-  /** Expected wait of a new slot request behind those ahead of it; undefined if there is no server. */
-  #expectedWait(request: SlotRequest, now: number): number | undefined {
-    const servers = this.#serversFor(request, now);
-    if (servers.length === 0) {
-      return undefined;
+  #capacityFor(request: Pick<SlotRequest, 'serverId' | 'excludedIds'>, now: number): Capacity {
+    const capacity: Capacity = { inFlight: 0, slots: 0, completionRate: 0, totalMilliseconds: 0, servers: 0 };
+    if (request.serverId === undefined) {
+      this.#usableServers(request, now).forEach((server) => {
+        addServer(capacity, server, now);
+      });
+    } else {
+      const owner = this.#servers.get(request.serverId)?.statistics;
+      if (owner !== undefined) {
+        addServer(capacity, owner, now);
+      }
     }
-    const ahead = this.#queue.filter(
-      (other) =>
-        other.rank <= request.rank && (request.serverId === undefined || other.serverId === request.serverId),
-    );
-    const inFlight = servers.reduce((sum, { inFlight }) => sum + inFlight, 0);
-    const slots = servers.reduce((sum, server) => sum + server.slots, 0);
-    const completionsPerMillisecond = servers.reduce(
-      (sum, server) => sum + server.slots / server.expectedMilliseconds(now),
-      0,
-    );
-    return Math.max(0, ahead.length + inFlight - slots + 1) / completionsPerMillisecond;
+    return capacity;
   }
 
-  #expectedProcessing(request: SlotRequest, now: number): number {
-    const servers = this.#serversFor(request, now);
-    const sum = servers.reduce((total, server) => total + server.expectedMilliseconds(now), 0);
-    return servers.length === 0 ? this.#averageMilliseconds : sum / servers.length;
+  #queueFor(key: string): SlotQueue {
+    const known = this.#queues.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const queue = new SlotQueue();
+    this.#queues.set(key, queue);
+    return queue;
   }
 
-  #serversFor(request: SlotRequest, now: number): readonly ServerStatistics[] {
-    if (request.serverId === undefined) {
-      return this.#usableServers(request, now);
+  #dequeue(slotRequestId: string): void {
+    const key = this.#queueKeys.get(slotRequestId);
+    if (key !== undefined) {
+      this.#queueKeys.delete(slotRequestId);
+      this.#queues.get(key)?.delete(slotRequestId);
     }
-    const owner = this.#servers.get(request.serverId)?.statistics;
-    return owner === undefined ? [] : [owner];
   }
 }
 
-/**
- * Orders by rank, then requests that can still meet their goal first. The stable sort keeps arrival order.
- */
-function compareRequests(left: SlotRequest, right: SlotRequest, now: number): number {
-  return left.rank - right.rank || Number(left.goalAt < now) - Number(right.goalAt < now);
+function addServer(capacity: Capacity, server: ServerStatistics, now: number): void {
+  const milliseconds = server.expectedMilliseconds(now);
+  capacity.inFlight += server.inFlight;
+  capacity.slots += server.slots;
+  capacity.completionRate += server.slots / milliseconds;
+  capacity.totalMilliseconds += milliseconds;
+  capacity.servers += 1;
+}
+
+/** Average processing time of the servers; 0 without servers. */
+function processingMilliseconds({ totalMilliseconds, servers }: Capacity): number {
+  return servers === 0 ? 0 : totalMilliseconds / servers;
+}
+
+/** Expected wait of a request behind a number of others, in milliseconds. */
+function waitMilliseconds({ inFlight, slots, completionRate }: Capacity, ahead: number): number {
+  return Math.max(0, ahead + inFlight - slots + 1) / completionRate;
 }
 
 function hasCapacity(server: ServerStatistics): boolean {
--- a/packages/dispatch/src/common/slotSource.ts
+++ b/packages/dispatch/src/common/slotSource.ts
@@ -1,5 +1,6 @@
 import type { AttemptOutcome } from './serverStatistics.js';
-import type { RefusalBasis, SlotRefusal, SlotRequest } from './slotScheduler.js';
+import type { SlotRequest } from './slotRequest.js';
+import type { RefusalBasis, SlotRefusal } from './slotScheduler.js';
 
 /** Permission to send one attempt to one server. */
 export interface Slot {
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { type SchedulableServer, type SlotRequest, SlotScheduler } from '../slotScheduler.js';
+import type { SlotRequest } from '../slotRequest.js';
+import { type SchedulableServer, SlotScheduler } from '../slotScheduler.js';
 
 /** Slots of each server; one more request is sent beyond them. */
 const SLOTS = 2;
@@ -211,4 +212,93 @@
       }
     });
   });
+
+  describe('when callers return that were refused in a surge', () => {
+    it('are granted to them before new ones, since their goal counts from their first attempt', () => {
+      const scheduler = createScheduler(createServer('one'));
+      fill(scheduler);
+      scheduler.submit(slotRequest('new', { goalAt: 900 }), 0);
+      scheduler.submit(slotRequest('returning', { goalAt: 600 }), 0);
+      const [decision] = scheduler.finish('busy-0', 'answered', 100);
+      assert.is(decision?.slotRequestId, 'returning');
+    });
+
+    it('let them return one after the other, not all at once', () => {
+      const scheduler = createScheduler(createServer('one'));
+      fill(scheduler);
+      const returns: number[] = [];
+      for (let count = 0; count < 200; count += 1) {
+        const [decision] = scheduler.submit(slotRequest(`request-${count.toString()}`), 0);
+        if (decision?.kind === 'refused') {
+          returns.push(decision.retryAfterMilliseconds);
+        }
+      }
+      assert.ok(returns.length > 100);
+      assert.ok(Math.max(...returns) <= 1_500);
+      const perTenth = new Map<number, number>();
+      returns.forEach((milliseconds) => {
+        const tenth = Math.floor(milliseconds / 100);
+        perTenth.set(tenth, (perTenth.get(tenth) ?? 0) + 1);
+      });
+      // About 900 ms of the period are left after the queue, for all that were refused.
+      const evenShare = returns.length / perTenth.size;
+      assert.ok(perTenth.size >= 6, `${perTenth.size.toString()} tenths of a second`);
+      assert.ok(Math.max(...perTenth.values()) <= 2 * evenShare);
+    });
+  });
+
+  describe('when the capacity for queued requests is lost', () => {
+    /** Queues requests behind a server that takes 100 ms for each. */
+    function queueBehindOwner(scheduler: SlotScheduler, count: number): void {
+      const requirements = { serverId: 'owner', goalAt: 2_000, deadlineAt: 2_500 };
+      fill(scheduler, requirements);
+      for (let index = 0; index < count; index += 1) {
+        assert.equal(scheduler.submit(slotRequest(`queued-${index.toString()}`, requirements), 0), []);
+      }
+    }
+
+    it('are refused at once to those that a server that has become slow cannot serve in time', () => {
+      const scheduler = createScheduler(createServer('owner'));
+      queueBehindOwner(scheduler, 20);
+      // Two requests took 2 s where 100 ms were expected.
+      scheduler.finish('busy-0', 'answered', 1_000);
+      scheduler.finish('busy-1', 'answered', 1_000);
+      const refused = scheduler.tick(1_050).filter(({ kind }) => kind === 'refused');
+      assert.ok(refused.length >= 5, `${refused.length.toString()} refused 1.4 s before their deadline`);
+      assert.ok(scheduler.waiting > 0, 'those that can be served stay queued');
+    });
+
+    it('are refused at once to those that wait for an unresponsive owner', () => {
+      const scheduler = createScheduler(createServer('owner'));
+      queueBehindOwner(scheduler, 5);
+      const decisions = scheduler.finish('busy-0', 'unreachable', 50);
+      assert.equal(
+        decisions.map((decision) => decision.kind === 'refused' && decision.refusal),
+        Array.from({ length: 5 }, () => 'unreachable'),
+      );
+      assert.is(scheduler.waiting, 0);
+    });
+  });
+
+  describe('for requests whose deadline is close, as at a planned stop', () => {
+    it('are refused although a slot is free, if the deadline would cut off the processing', () => {
+      const scheduler = createScheduler(createServer('one'));
+      const [decision] = scheduler.submit(slotRequest('short', { deadlineAt: 30 }), 0);
+      assert.is(decision?.kind === 'refused' && decision.refusal, 'overloaded');
+      assert.is(scheduler.inUse, 0);
+    });
+
+    it('are still granted at a server that was unresponsive, so that it recovers', () => {
+      const scheduler = createScheduler(createServer('one'));
+      for (let count = 0; count < 20; count += 1) {
+        const at = count * 10_000;
+        const [decision] = scheduler.submit(
+          slotRequest(`request-${count.toString()}`, { goalAt: at + 1_000, deadlineAt: at + 3_000 }),
+          at,
+        );
+        assert.is(decision?.kind, 'granted');
+        scheduler.finish(`request-${count.toString()}`, 'silent', at + 3_000);
+      }
+    });
+  });
 });
--- a/packages/entryVm/src/common/slotCoordinator.ts
+++ b/packages/entryVm/src/common/slotCoordinator.ts
@@ -1,9 +1,9 @@
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import type { AttemptOutcome } from '@hickoryhoist/dispatch/common/serverStatistics.js';
+import type { SlotRequest } from '@hickoryhoist/dispatch/common/slotRequest.js';
 import {
   type SchedulableServer,
-  type SlotRequest,
   type SlotDecision,
   SlotScheduler,
 } from '@hickoryhoist/dispatch/common/slotScheduler.js';
--- a/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
+++ b/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
@@ -1,9 +1,6 @@
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
-import {
-  type SlotRequest,
-  type SlotDecision,
-  SlotScheduler,
-} from '@hickoryhoist/dispatch/common/slotScheduler.js';
+import type { SlotRequest } from '@hickoryhoist/dispatch/common/slotRequest.js';
+import { type SlotDecision, SlotScheduler } from '@hickoryhoist/dispatch/common/slotScheduler.js';
 import { estimateProcessingTimes } from '@hickoryhoist/dispatch/common/processingTimes.js';
 import { LAST_KEY, type OwnedRange, findRange } from '@hickoryhoist/keyownership/common/keyAssignment.js';
 import {
--- a/packages/testing/src/common/testReport.ts
+++ b/packages/testing/src/common/testReport.ts
@@ -25,3 +25,20 @@
 export function parseKnownFailures(text: string): readonly string[] {
   return [...text.matchAll(/^test:\s*(.+?)\s*$/gm)].map((match) => match[1] ?? '');
 }
+
+/** How the tests of a copy with a disabled mechanism ended. */
+export type MutationResult = 'caught' | 'missed' | 'no-test-ran';
+
+/**
+ * Judges the output of a test run with a disabled mechanism. A run that ended before its tests detected nothing.
+ */
+export function judgeMutation(output: string): MutationResult {
+  const summary = /^(\d+) passed, (\d+) failed$/m.exec(output);
+  const passed = Number(summary?.[1] ?? '0');
+  const failed = Number(summary?.[2] ?? '0');
+  const hasFailedTest = /^\s*FAIL\s+.*"(.+)"\s*$/m.test(output);
+  if (hasFailedTest && failed > 0) {
+    return 'caught';
+  }
+  return passed > 0 && failed === 0 ? 'missed' : 'no-test-ran';
+}
--- a/packages/testing/src/node/proveMain.ts
+++ b/packages/testing/src/node/proveMain.ts
@@ -11,6 +11,7 @@
 } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
+import { judgeMutation, type MutationResult } from '../common/testReport.js';
 
 /** A source change that disables one mechanism, and the test that must fail because of it. */
 interface Mutation {
@@ -29,6 +30,7 @@
 function copyProject(): string {
   const directory = mkdtempSync(join(tmpdir(), 'hickoryhoist-proof-'));
   cpSync('packages', join(directory, 'packages'), { recursive: true });
+  cpSync('platform', join(directory, 'platform'), { recursive: true });
   cpSync('package.json', join(directory, 'package.json'));
   cpSync('tsconfig.json', join(directory, 'tsconfig.json'));
   const nodeModules = join(directory, 'node_modules');
@@ -42,15 +44,17 @@
   return directory;
 }
 
-function passesTest(directory: string, pathPattern: string): Promise<boolean> {
-  return new Promise((resolvePassed) => {
+function runTests(directory: string, pathPattern: string): Promise<MutationResult> {
+  return new Promise((resolveResult) => {
     const script = 'packages/testing/src/node/runTestsMain.ts';
     const child = spawn(process.execPath, ['--import', 'tsx', script, pathPattern], {
       cwd: directory,
-      stdio: 'ignore',
+      stdio: ['ignore', 'pipe', 'ignore'],
     });
-    child.on('close', (code) => {
-      resolvePassed(code === 0);
+    const chunks: Buffer[] = [];
+    child.stdout.on('data', (chunk: Buffer) => chunks.push(chunk));
+    child.on('close', () => {
+      resolveResult(judgeMutation(Buffer.concat(chunks).toString('utf8')));
     });
   });
 }
@@ -70,9 +74,9 @@
       path,
       source.replace(mutation.find, () => mutation.replace),
     );
-    const hasPassed = await passesTest(directory, mutation.test);
-    process.stdout.write(`${hasPassed ? 'MISSED ' : 'caught '} ${mutation.name} (${mutation.test})\n`);
-    return !hasPassed;
+    const result = await runTests(directory, mutation.test);
+    process.stdout.write(`${result} ${mutation.name} (${mutation.test})\n`);
+    return result === 'caught';
   } finally {
     rmSync(directory, { recursive: true, force: true });
   }
