Keep the daemon of the product's own interface running after an error that nothing catches

Cause: serve logged unhandled rejections, but an exception in an event handler ended the whole process; only the program on the platform caught both. Change: one function for both programs.

--- a/packages/daemon/src/node/commands/serveCommand.ts
+++ b/packages/daemon/src/node/commands/serveCommand.ts
@@ -1,8 +1,8 @@
 import { readFile } from 'node:fs/promises';
 import { command, option, string } from 'cmd-ts';
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
-import { describeError } from '@hickoryhoist/base/common/errors.js';
 import { KeyValueLogger } from '@hickoryhoist/base/node/keyValueLogger.js';
+import { logProcessErrors } from '@hickoryhoist/base/node/processErrors.js';
 import { HttpPlatform } from '@hickoryhoist/store/node/httpPlatform.js';
 import { entryVmSettingsSchema } from '../../common/entryVmSettings.js';
 import { EntryVmProcess } from '../entryVmProcess.js';
@@ -17,9 +17,7 @@
   handler: async ({ settings: path }) => {
     const settings = parseDocument(path, entryVmSettingsSchema, await readFile(path, 'utf8'));
     const logger = new KeyValueLogger('entry-vm', settings.logLevel);
-    process.on('unhandledRejection', (error) => {
-      logger.log('error', 'unhandled-rejection', { error: describeError(error) });
-    });
+    logProcessErrors(logger);
     const platform = new HttpPlatform(settings.platformAddress);
     const entryVm = await EntryVmProcess.start(settings, platform, logger);
     const stop = (): void => {
