Reserve free ports of tests across processes

Cause shown by a run: a port is looked for seconds before the process that is to listen on it has started, and a second test process whose id is 495 higher looks for the same ones. Both runs of the failure test failed then (servers with exit code 1, 'timed out waiting until vm-es-north-1 serves'). Change: a file for each port in use, with the id of the process; one of a process that has ended is taken over. Test: freePort, two processes at the same port.

--- a/packages/standIns/src/node/freePort.ts
+++ b/packages/standIns/src/node/freePort.ts
@@ -1,4 +1,7 @@
+import { mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
 
 /** Thrown when every port of the range is in use. */
@@ -15,24 +18,77 @@
 /** Distance between the first ports of processes with consecutive ids, so that they rarely try the same ports. */
 const PORT_OFFSET_PER_PROCESS_ID = 97;
 
+/** One file for each port in use, with the id of the process that got it. */
+const RESERVATIONS = join(tmpdir(), 'hickoryhoist-ports');
+
 let nextOffset = (process.pid * PORT_OFFSET_PER_PROCESS_ID) % (LAST_PORT - FIRST_PORT + 1);
 
+/** Sets the distance from FIRST_PORT at which the next call begins, so that a test can make processes collide. */
+export function setNextOffset(offset: number): void {
+  nextOffset = offset;
+}
+
 /**
  * Finds a port on which no process listens. This process gets another port from each call until the range wraps
- * around.
+ * around. Other processes do not get it while this one runs: a process that is to listen on it takes seconds to start
+ * on a busy machine.
  * @throws NoFreePortError
  */
 export async function findFreePort(host = '127.0.0.1'): Promise<number> {
   for (let attempt = FIRST_PORT; attempt <= LAST_PORT; attempt += 1) {
     const port = FIRST_PORT + nextOffset;
     nextOffset = (nextOffset + 1) % (LAST_PORT - FIRST_PORT + 1);
-    if (await isFree(host, port)) {
-      return port;
+    if (reserve(port)) {
+      if (await isFree(host, port)) {
+        return port;
+      }
+      rmSync(reservationOf(port), { force: true });
     }
   }
   throw new NoFreePortError(`${host}: all ports from ${FIRST_PORT.toString()} on are in use`);
 }
 
+function reservationOf(port: number): string {
+  return join(RESERVATIONS, port.toString());
+}
+
+/** @returns whether this process has reserved the port. A reservation of a process that has ended is taken over. */
+function reserve(port: number): boolean {
+  mkdirSync(RESERVATIONS, { recursive: true });
+  const file = reservationOf(port);
+  if (isReserved(file)) {
+    return false;
+  }
+  rmSync(file, { force: true });
+  try {
+    writeFileSync(file, process.pid.toString(), { flag: 'wx' });
+    return true;
+  } catch {
+    // Another process has reserved it in the meantime; the next port is tried.
+    return false;
+  }
+}
+
+function isReserved(file: string): boolean {
+  let owner: number;
+  try {
+    owner = Number(readFileSync(file, 'utf8'));
+  } catch {
+    // There is no reservation.
+    return false;
+  }
+  return owner !== process.pid && isRunning(owner);
+}
+
+function isRunning(processId: number): boolean {
+  try {
+    return process.kill(processId, 0);
+  } catch {
+    // No process has this identifier.
+    return false;
+  }
+}
+
 function isFree(host: string, port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
--- a/packages/standIns/src/node/test/freePort.test.ts
+++ b/packages/standIns/src/node/test/freePort.test.ts
@@ -1,8 +1,10 @@
-import { createServer } from 'node:net';
+import { spawn } from 'node:child_process';
 import { readFileSync } from 'node:fs';
+import { createServer } from 'node:net';
+import { join } from 'node:path';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { findFreePort } from '../freePort.js';
+import { findFreePort, FIRST_PORT } from '../freePort.js';
 
 const PORTS = 40;
 /** Default start of the ephemeral port range of Linux. */
@@ -31,4 +33,26 @@
     server.close();
     assert.is.not(found, next);
   });
+
+  it('does not return a port that another running process got and does not use yet', async () => {
+    const module = join(import.meta.dirname, '../freePort.ts');
+    const next = (await findFreePort()) + 1;
+    const offset = next - FIRST_PORT;
+    const script = `
+      const { findFreePort, setNextOffset } = await import(${JSON.stringify(module)});
+      setNextOffset(${offset.toString()});
+      process.stdout.write((await findFreePort()).toString());
+      process.stdin.resume();
+    `;
+    const child = spawn(process.execPath, ['--import', 'tsx', '--input-type=module', '-e', script], {
+      stdio: ['pipe', 'pipe', 'inherit'],
+    });
+    try {
+      const other = Number(await new Promise((resolve) => child.stdout.once('data', resolve)));
+      assert.is(other, next);
+      assert.is.not(await findFreePort(), next);
+    } finally {
+      child.kill('SIGKILL');
+    }
+  });
 });
