Take first attempts of callers for first attempts, although their timeouts differ

Cause: the time that a caller has waited was the difference to the longest timeout seen on its route. Requests that could be served in time were refused as late, or queued behind others. Change: CallerWaitEstimator learns the spread of first timeouts from the median of recent ones; only a shorter timeout means that the caller has waited. Ruled out: clients that really return; the spread is even, and the same at 30 s as at 0.2 s.

--- a/packages/entryVm/src/node/callerServer.ts
+++ b/packages/entryVm/src/node/callerServer.ts
@@ -10,6 +10,7 @@
 import type { CallerLimits } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import type { RouteMatch, RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import type { CallerProtocol } from '../common/callerProtocol.js';
+import { CallerWaitEstimator } from '../common/callerWaitEstimator.js';
 
 /** The server could not bind its address. */
 export class ListenError extends HickoryhoistError {
@@ -48,8 +49,7 @@
 export class CallerServer extends DisposableBase {
   readonly #options: CallerServerOptions;
   readonly #server: Server;
-  /** Longest timeout that callers have sent for each route, taken as the timeout of a first attempt. */
-  readonly #longestTimeoutByRoute = new Map<string, number>();
+  readonly #callerWaits = new CallerWaitEstimator();
   #inFlight = 0;
   /** Time by which every request must be answered; infinite until shutdown begins. */
   #responseDeadline = Number.POSITIVE_INFINITY;
@@ -194,8 +194,7 @@
     const callerTimeout =
       parsePositiveInteger(firstHeaderValue(message.headers, protocol.timeoutHeader)) ??
       route.timeoutMilliseconds;
-    const longestTimeout = Math.max(callerTimeout, this.#longestTimeoutByRoute.get(route.name) ?? 0);
-    this.#longestTimeoutByRoute.set(route.name, longestTimeout);
+    const waitedMilliseconds = this.#callerWaits.record(route.name, callerTimeout);
     const keyText = firstHeaderValue(message.headers, protocol.keyHeader);
     const key = keyText !== undefined && /^\d{1,5}$/.test(keyText) ? Number(keyText) : undefined;
     return {
@@ -210,9 +209,8 @@
       service: service.name,
       isKeyed: service.kind === 'keyed' && key !== undefined,
       arrivedAt,
-      // A caller that retries sends a shorter timeout. Its goal counts from its first attempt, so the time that
-      // it has already waited is subtracted.
-      goalAt: arrivedAt + route.goalMilliseconds - (longestTimeout - callerTimeout),
+      // The goal counts from the caller's first attempt.
+      goalAt: arrivedAt + route.goalMilliseconds - waitedMilliseconds,
       deadlineAt: Math.min(
         arrivedAt + Math.min(callerTimeout, route.timeoutMilliseconds),
         this.#responseDeadline,
