Read the servers from a neighbour when an entry VM starts

Change: the first copy of the servers comes from a neighbour; of those that start together only the first few look for the others in the store; a rank counts 300 ms after the own row was written. An entry VM is ready once its tables are as new as a reader's heartbeat states, so that an old copy of a neighbour brings no server back that has left. Ruled out: reading the configuration from a neighbour too; it saves one call a start, and its age is bound by a rule of its own.

--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -15,6 +15,10 @@
  * of a deployment start within 300 ms of each other.
  */
 const SETTLING_MILLISECONDS = 300;
+/** Interval between the reads of the table until this entry VM's row shows up, in milliseconds. */
+const POLL_INTERVAL_MILLISECONDS = 300;
+/** Number of other entry VMs from which on they are asked for the rows instead of the store. */
+const MIN_NEIGHBOURS = 3;
 /** A process acts on what it knows when its own row has not shown up for this long, in milliseconds. */
 const MAX_SETTLING_MILLISECONDS = 3_000;
 
@@ -47,8 +51,13 @@
 export interface EntryVmRows {
   readonly rows: ReadonlyMap<string, StoredRow>;
   readonly isLoaded: boolean;
-  /** Reads the changes of the table without waiting. */
+  /** Reads the changes of the table from the store without waiting. */
   poll(): void;
+  /**
+   * Reads missing rows from another entry VM, or from the store if none has them.
+   * @param attempt number of attempts before this one.
+   */
+  readMissing(attempt: number): void;
 }
 
 /** Keeps track of all entry VMs. Each writes a row to the store at startup and deletes it at shutdown. */
@@ -64,6 +73,9 @@
   #nextWriteAt = 0;
   /** When to read the table for this entry VM's row, which has been written; undefined if it has not. */
   #pollAt: number | undefined;
+  #pollCount = 0;
+  /** When this entry VM's row was written; undefined if it has not been written. */
+  #writtenAt: number | undefined;
   readonly #startedAt = performance.now();
   /** This entry VM as described by its stored row. */
   #storedSelf: EntryVmRecord | undefined;
@@ -89,9 +101,11 @@
    * same time, and none of them finds another in the table at first.
    */
   get isSettled(): boolean {
+    const now = performance.now();
+    const haveOthersStarted = this.#writtenAt !== undefined && now - this.#writtenAt > SETTLING_MILLISECONDS;
     return (
-      this.#storedSelf?.incarnation === this.#self.incarnation ||
-      performance.now() - this.#startedAt > MAX_SETTLING_MILLISECONDS
+      (this.#storedSelf?.incarnation === this.#self.incarnation && haveOthersStarted) ||
+      now - this.#startedAt > MAX_SETTLING_MILLISECONDS
     );
   }
 
@@ -149,8 +163,8 @@
       return;
     }
     if (this.#pollAt !== undefined && now >= this.#pollAt) {
-      this.#pollAt = undefined;
-      this.#rows.poll();
+      this.#pollAt = now + POLL_INTERVAL_MILLISECONDS;
+      this.#readOwnRow();
     }
     if (now >= this.#nextWriteAt) {
       void this.#writeOwnRow();
@@ -191,6 +205,19 @@
     }
   }
 
+  /**
+   * Reads the rows of those that started at the same time. The first ones read the store, and the others read the copies
+   * of those.
+   */
+  #readOwnRow(): void {
+    if (this.#otherAddresses.length < MIN_NEIGHBOURS) {
+      this.#rows.poll();
+    } else {
+      this.#rows.readMissing(this.#pollCount);
+      this.#pollCount += 1;
+    }
+  }
+
   async #writeOwnRow(): Promise<void> {
     this.#isWriting = true;
     const { id, ...value } = this.#self;
@@ -206,7 +233,8 @@
         ],
         deletes: [],
       });
-      this.#pollAt = performance.now() + SETTLING_MILLISECONDS;
+      this.#writtenAt = performance.now();
+      this.#pollAt = this.#writtenAt + SETTLING_MILLISECONDS;
       this.#nextWriteAt = performance.now() + REWRITE_MILLISECONDS;
     } catch (error) {
       this.#nextWriteAt = performance.now() + RETRY_MILLISECONDS;
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -103,6 +103,8 @@
   #lastHeartbeatAt = performance.now();
   /** Time for which the assigner has not reached the store, by its last heartbeat; in milliseconds. */
   #assignerStoreSilence = 0;
+  /** Whether the copies of the tables have been current since this process started. They may come from neighbours. */
+  #hasBeenCurrent = false;
   #nextProbeAt = 0;
   #nextHeartbeatAt = 0;
   #nextReportAt = 0;
@@ -170,9 +172,14 @@
     return this.#readers.isReader;
   }
 
-  /** Whether the owners of all keyed services are known. */
+  /** Whether the owners of all keyed services are known, and the tables have been as new as those of the readers once. */
   get isReady(): boolean {
-    return this.#keyedServices().every((service) => this.owners.assignmentOf(service) !== undefined);
+    this.#hasBeenCurrent ||=
+      this.#readers.hasContact && [...this.#options.tables.values()].every(({ isCurrent }) => isCurrent);
+    return (
+      this.#hasBeenCurrent &&
+      this.#keyedServices().every((service) => this.owners.assignmentOf(service) !== undefined)
+    );
   }
 
   /**
--- a/packages/entryVm/src/common/neighbourSelector.ts
+++ b/packages/entryVm/src/common/neighbourSelector.ts
@@ -1,4 +1,7 @@
-import { DEFAULT_MAX_LAG_MILLISECONDS } from '@hickoryhoist/store/common/tableWatcher.js';
+import {
+  DEFAULT_MAX_LAG_MILLISECONDS,
+  type FirstCopySource,
+} from '@hickoryhoist/store/common/tableWatcher.js';
 import { broadcastCapacity, type EntryVmRecord } from './entryVmRegistry.js';
 import { rankByRendezvous } from './rendezvous.js';
 
@@ -51,6 +54,7 @@
   #selectedFrom: readonly EntryVmRecord[] | undefined;
   #sources: readonly EntryVmRecord[] = [];
   #isLeader = false;
+  #isReader = false;
 
   constructor(selfId: string, entryVms: () => readonly EntryVmRecord[]) {
     this.#selfId = selfId;
@@ -63,6 +67,18 @@
     return this.#isLeader ? LEADER_MAX_LAG_MILLISECONDS : DEFAULT_MAX_LAG_MILLISECONDS;
   }
 
+  /**
+   * Where this process reads its first copy of a table.
+   * @param isSettled whether the entry VMs that started together with this one are known.
+   */
+  firstCopySource(isSettled: boolean): FirstCopySource {
+    if (!isSettled) {
+      return 'undecided';
+    }
+    this.#update();
+    return this.#isReader || this.#sources.length === 0 ? 'store' : 'neighbours';
+  }
+
   /**
    * @param attempt number of attempts before this one.
    * @returns undefined if the store is to be read.
@@ -79,6 +95,7 @@
     }
     this.#selectedFrom = entryVms;
     const readers = selectReaders(entryVms);
+    this.#isReader = readers.some(({ id }) => id === this.#selfId);
     const zone = entryVms.find(({ id }) => id === this.#selfId)?.availabilityZone;
     const sameZone = entryVms.filter(({ availabilityZone }) => availabilityZone === zone);
     const leaders = rankByCapacity(`tables/${zone ?? ''}`, sameZone, LEADERS_PER_ZONE);
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -86,6 +86,11 @@
     return this.#isReader;
   }
 
+  /** Whether this process reads the store itself or hears a reader, so that it knows which changes it has missed. */
+  get hasContact(): boolean {
+    return this.#isReader || this.#heardReaders.size > 0;
+  }
+
   tick(now: number): void {
     const { isSettled, tables } = this.#options;
     if (isSettled()) {
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -9,6 +9,7 @@
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import {
+  type FirstCopySource,
   type NeighbourResult,
   type NeighbourTables,
   TableWatcher,
@@ -97,7 +98,7 @@
     const neighbours: NeighbourTables = {
       readChanges: (table, after, attempt) => this.#readNeighbour(selector, table, after, attempt),
     };
-    const watch = (table: string): TableWatcher =>
+    const watch = (table: string, firstCopySource?: () => FirstCopySource): TableWatcher =>
       disposables.add(
         new TableWatcher(
           store,
@@ -107,12 +108,13 @@
             pauseMilliseconds: 10,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
             neighbours,
+            ...(firstCopySource === undefined ? {} : { firstCopySource }),
           },
           logger,
         ),
       );
     const controlRows = watch(CONTROL_TABLE);
-    const serverRows = watch(SERVERS_TABLE);
+    const serverRows = watch(SERVERS_TABLE, () => selector.firstCopySource(entryVmRegistry.isSettled));
     const tables = new Map([
       [CONTROL_TABLE, controlRows],
       [SERVERS_TABLE, serverRows],
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -216,6 +216,67 @@
     }
   });
 
+  for (const { answerMilliseconds, callsOfEach } of [
+    // Each reads the table of entry VMs and writes its row.
+    { answerMilliseconds: 4, callsOfEach: 2 },
+    // No row is there when they read the table, so each reads it once more.
+    { answerMilliseconds: 400, callsOfEach: 3 },
+  ]) {
+    it(`needs few calls for many entry VMs that start within 300 ms, with ${answerMilliseconds.toString()} ms a call`, async () => {
+      const rig = new KeyOwnershipRig();
+      const started = 60;
+      try {
+        ['server-1', 'server-2', 'server-3'].forEach((id) => {
+          rig.announce(id);
+        });
+        rig.store.setCondition({ kind: 'slow', answerMilliseconds });
+        for (let number = 1; number <= started; number += 1) {
+          rig.startVm(`vm-${number.toString()}`);
+          await rig.clock.tickAsync(300 / started);
+        }
+        await rig.advance(6_000);
+        const callsForAll = 40;
+        assert.ok(
+          rig.store.calls <= callsOfEach * started + callsForAll,
+          `${rig.store.calls.toString()} calls`,
+        );
+        for (const { id, controller } of rig.vms.values()) {
+          assert.ok(controller.isReady, id);
+          assert.is(rig.phaseOf(id, 'server-3'), 'ready', id);
+        }
+      } finally {
+        rig.dispose();
+      }
+    });
+  }
+
+  it('lets an entry VM that starts from a stale neighbour begin to serve only with current tables', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      for (let number = 4; number <= 30; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      await rig.advance(5_000);
+      const readers = readerIds(rig);
+      // All but the readers keep an old copy: they receive neither changes nor versions.
+      rig.isDropped = (message) => message.type === 'table-changes' || message.type === 'reader-heartbeat';
+      rig.announce('server-4', 'leaving');
+      await rig.advance(100);
+      readers.forEach((id) => {
+        assert.is(rig.phaseOf(id, 'server-4'), 'leaving', id);
+      });
+      rig.isDropped = () => false;
+      const { controller } = rig.startVm('vm-new');
+      for (let elapsed = 0; elapsed < 3_000 && !controller.isReady; elapsed += 10) {
+        await rig.advance(10);
+      }
+      assert.ok(controller.isReady);
+      assert.is.not(rig.phaseOf('vm-new', 'server-4'), 'ready');
+      // The registry of servers reads the table at the next tick.
+      await rig.advance(50);
+      assert.is(rig.phaseOf('vm-new', 'server-4'), 'leaving');
+    });
+  });
+
   it('replaces the readers and the assigner when all of them fail, with few calls', async () => {
     await withKeyOwnershipRig(async (rig) => {
       for (let number = 4; number <= 60; number += 1) {
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -12,9 +12,8 @@
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
-import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
-import { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
+import { TableWatcher, type TableWatcherOptions } from '@hickoryhoist/store/common/tableWatcher.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
 import { EntryVmMetrics } from '../common/entryVmMetrics.js';
 import { EntryVmRoutingView } from '../common/entryVmRoutingView.js';
@@ -104,7 +103,7 @@
     const watch = (
       table: string,
       pauseMilliseconds: number,
-      isRelevantChange: (before: StoredRow | undefined, after: StoredRow) => boolean = () => true,
+      options: Pick<TableWatcherOptions, 'isRelevantChange' | 'firstCopySource'> = {},
     ): TableWatcher =>
       this.register(
         new TableWatcher(
@@ -113,7 +112,7 @@
             table,
             waitMilliseconds: FEED_WAIT_MILLISECONDS,
             pauseMilliseconds,
-            isRelevantChange,
+            ...options,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
             neighbours: this.#tableExchange,
           },
@@ -121,9 +120,11 @@
         ),
       );
     this.#configurationRows = watch(binding.configurationTable, CONFIGURATION_PAUSE_MILLISECONDS);
-    this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, (before, after) =>
-      isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
-    );
+    this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, {
+      isRelevantChange: (before, after) =>
+        isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
+      firstCopySource: () => selector.firstCopySource(this.#entryVmRegistry.isSettled),
+    });
     this.#controlRows = watch(CONTROL_TABLE, CONTROL_PAUSE_MILLISECONDS);
     this.#tables = new Map([
       [binding.configurationTable, this.#configurationRows],
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -10,6 +10,11 @@
 /** Maximum random addition to a backoff, as a fraction of it. Keeps the retries of entry VMs from synchronizing. */
 const JITTER_RATIO = 0.3;
 
+/** Interval at which a process that starts checks where to read the first copy of a table, in milliseconds. */
+const FIRST_COPY_POLL_MILLISECONDS = 50;
+/** Delay before another neighbour is asked for the first copy of a table, in milliseconds: it may have none yet either. */
+const FIRST_COPY_RETRY_MILLISECONDS = 300;
+
 /** Number of deletions to remember for processes that read changes from this one. */
 const MAX_DELETIONS = 500;
 
@@ -32,12 +37,19 @@
   readonly maxLagMilliseconds?: () => number;
   /** Another source of missing changes than the store, which is read when it has none. */
   readonly neighbours?: NeighbourTables;
+  /** Where the first copy of the table is read; by default in the store. */
+  readonly firstCopySource?: () => FirstCopySource;
 }
 
+/** Source of the first copy of a table. */
+export type FirstCopySource =
+  /** The neighbours are not known yet. */
+  'undecided' | 'store' | 'neighbours';
+
 /** Copies of tables in other processes. */
 export interface NeighbourTables {
   /**
-   * Reads the changes after a version. Never rejects.
+   * Reads the changes after a version, or all rows if it is 0. Never rejects.
    * @param attempt number of attempts since this copy fell behind; each may read another process.
    */
   readChanges(table: string, after: number, attempt: number): Promise<NeighbourResult>;
@@ -91,6 +103,10 @@
   #isFeedContinuous = false;
   /** Whether missing changes are to be read from a neighbour. */
   #isCatchUpDue = false;
+  /** Attempts to read the first copy of the table. */
+  #firstCopyAttempts = 0;
+  /** Whether all neighbours have been asked for the first copy once. */
+  #haveNeighboursBeenAsked = false;
   /** Attempts to read missing changes since the copy fell behind. */
   #catchUpAttempts = 0;
   /** Recent deletions, the oldest first, and the version from which on they are complete. */
@@ -133,7 +149,12 @@
     return this.#version !== undefined;
   }
 
-  /** Number of completed reads of the whole table. */
+  /** Whether the copy contains all changes that other processes are known to have seen. */
+  get isCurrent(): boolean {
+    return this.#version !== undefined && this.#expectedVersion <= this.#version;
+  }
+
+  /** Number of completed reads of the whole table from the store. */
   get fullReadCount(): number {
     return this.#fullReadCount;
   }
@@ -219,12 +240,13 @@
   }
 
   /**
-   * Changes of this copy after a version, for another process.
+   * Changes of this copy after a version, for another process; all rows for version 0, after which no process can have
+   * a row that has been deleted.
    * @returns undefined if deletions since then are no longer known.
    */
   changesAfter(after: number): ListedChanges | undefined {
     const version = this.#version;
-    if (version === undefined || after < this.#deletionsCompleteFrom) {
+    if (version === undefined || (after !== 0 && after < this.#deletionsCompleteFrom)) {
       return undefined;
     }
     return {
@@ -281,11 +303,15 @@
   }
 
   async #advance(): Promise<void> {
-    const { table, waitMilliseconds, pauseMilliseconds } = this.#options;
-    if (this.#version === undefined || this.#isReloadDue) {
+    const { table, waitMilliseconds, pauseMilliseconds, firstCopySource } = this.#options;
+    if (this.#isReloadDue) {
       await this.#reloadTable();
       return;
     }
+    if (this.#version === undefined) {
+      await this.#readFirstCopy(firstCopySource?.() ?? 'store');
+      return;
+    }
     if (this.#isCatchUpDue) {
       this.#isCatchUpDue = false;
       await this.#readNeighbour(this.#version);
@@ -334,30 +360,71 @@
       : rows.filter((row) => isRelevantChange(this.#rows.get(row.key), row));
   }
 
+  async #readFirstCopy(source: FirstCopySource): Promise<void> {
+    switch (source) {
+      case 'undecided':
+        await delay(FIRST_COPY_POLL_MILLISECONDS);
+        return;
+      case 'store':
+        await this.#reloadTable();
+        return;
+      case 'neighbours':
+        await this.#readFirstCopyOfNeighbour();
+    }
+  }
+
+  /**
+   * Reads the whole table from another process, or from the store if no other process has it. Load pattern: hundreds of
+   * processes start at the same time, and a few of them read the store. Those may take long, so the store is read only
+   * when all neighbours have been asked twice.
+   */
+  async #readFirstCopyOfNeighbour(): Promise<void> {
+    const result = await this.#readChangesOfNeighbour(0, this.#firstCopyAttempts);
+    this.#firstCopyAttempts += 1;
+    switch (result.kind) {
+      case 'changes':
+        this.#deletionsCompleteFrom = result.version;
+        if (!this.#apply(result)) {
+          this.#onDidChange.fire();
+        }
+        return;
+      case 'unavailable':
+        await delay(FIRST_COPY_RETRY_MILLISECONDS);
+        return;
+      case 'use-store':
+        if (this.#haveNeighboursBeenAsked) {
+          await this.#reloadTable();
+        }
+        this.#haveNeighboursBeenAsked = true;
+    }
+  }
+
   /** Reads missing changes from another process, or sees to it that they are read from the store. */
   async #readNeighbour(after: number): Promise<void> {
-    const { table, neighbours } = this.#options;
     const attempt = this.#catchUpAttempts;
     this.#catchUpAttempts += 1;
-    this.#isPolling = true;
-    let result: NeighbourResult | undefined;
-    try {
-      result = await neighbours?.readChanges(table, after, attempt);
-    } finally {
-      this.#isPolling = false;
-    }
-    switch (result?.kind) {
+    const result = await this.#readChangesOfNeighbour(after, attempt);
+    switch (result.kind) {
       case 'changes':
         this.#apply(result);
         return;
       case 'unavailable':
         return;
       case 'use-store':
-      case undefined:
         this.#isPollDue = true;
     }
   }
 
+  async #readChangesOfNeighbour(after: number, attempt: number): Promise<NeighbourResult> {
+    const { table, neighbours } = this.#options;
+    this.#isPolling = true;
+    try {
+      return (await neighbours?.readChanges(table, after, attempt)) ?? { kind: 'use-store' };
+    } finally {
+      this.#isPolling = false;
+    }
+  }
+
   #apply({ version, newestChange, deletedKeys, rows }: ListedChanges): boolean {
     if (version < (this.#version ?? 0)) {
       // The other source has delivered a newer version, in which rows deleted here may have been written again.
