Keep the ports open during a planned stop until callers have moved, and read what has arrived

Reported by operators: during a planned stop under load, requests that had just been accepted were cut off. Cause, in the product's own interface: the port was closed as soon as the keys were transferred, responses until then kept their connections open, and closing the port closed connections that counted as idle although a request had arrived or was in transit. Change: from the stop signal on each response closes its connection; the ports stay open for balancerReactionMilliseconds (setting, 3 s); pending input is read before the port is closed, and accepted connections get 300 ms for their request. Ruled out: new connections alone; none was cut off while callers stop with the load balancer.

--- a/packages/daemon/src/common/entryVmSettings.ts
+++ b/packages/daemon/src/common/entryVmSettings.ts
@@ -22,6 +22,11 @@
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   /** Maximum time that a planned stop waits for the transfer of the keys that this entry VM owns. */
   stopGraceMilliseconds: z.number().int().min(0).default(10_000),
+  /**
+   * Time for which a planned stop keeps the ports open at least, so that the platform's load balancer and the callers
+   * notice that this entry VM is not ready.
+   */
+  balancerReactionMilliseconds: z.number().int().min(0).default(3_000),
 });
 
 /** Settings of an entry VM daemon. */
--- a/packages/daemon/src/node/entryVmProcess.ts
+++ b/packages/daemon/src/node/entryVmProcess.ts
@@ -153,7 +153,8 @@
       inFlight: this.#callerServer.inFlight,
     });
     this.#control.leave();
-    await this.#waitForTransfer();
+    this.#callerServer.beginStop();
+    await Promise.all([this.#waitForTransfer(), delay(this.#settings.balancerReactionMilliseconds)]);
     await this.#callerServer.stop();
     await this.#peerServer.stop();
     this.dispose();
--- a/packages/gateway/src/node/gatewayServer.ts
+++ b/packages/gateway/src/node/gatewayServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { delay, waitForPendingIo } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError, HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
@@ -24,6 +25,10 @@
   readonly logger: Logger;
 }
 
+/** Time for which a stopping server waits for requests on connections that it has accepted, in milliseconds. */
+const UNREAD_REQUEST_MILLISECONDS = 300;
+const STOP_POLL_MILLISECONDS = 20;
+
 /** Signal of a non-idempotent request, which runs to its end even if the caller disconnects. */
 const NEVER_ABORTS = new AbortController().signal;
 
@@ -33,7 +38,6 @@
   readonly #server: Server;
   #inFlight = 0;
   #isStopping = false;
-  #onIdle: (() => void) | undefined;
 
   constructor(options: GatewayServerOptions) {
     super();
@@ -65,17 +69,39 @@
     });
   }
 
-  /** Stops accepting connections and resolves when no request is in flight. */
-  async stop(): Promise<void> {
+  /** Closes each connection after its next response, so that callers move to other entry VMs. */
+  beginStop(): void {
     this.#isStopping = true;
+  }
+
+  /**
+   * Stops accepting connections and resolves when no request is in flight. Load pattern: callers go on sending. A
+   * request is not cut off if its connection was accepted, although it may be read only after this call.
+   */
+  async stop(): Promise<void> {
+    this.beginStop();
+    // Accepts connections that wait for it, and reads requests on connections that count as idle.
+    await waitForPendingIo();
     this.#server.close();
-    this.#server.closeIdleConnections();
-    if (this.#inFlight > 0) {
-      await new Promise<void>((resolve) => {
-        this.#onIdle = resolve;
-      });
+    let lastBusyAt = performance.now();
+    while (
+      performance.now() - lastBusyAt < UNREAD_REQUEST_MILLISECONDS &&
+      (await this.#countConnections()) > 0
+    ) {
+      await delay(STOP_POLL_MILLISECONDS);
+      lastBusyAt = this.#inFlight > 0 ? performance.now() : lastBusyAt;
     }
-    this.#server.closeIdleConnections();
+  }
+
+  #countConnections(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#server.getConnections((error, count) => {
+        if (error !== null) {
+          this.#options.logger.log('warn', 'connections-not-counted', { reason: describeError(error) });
+        }
+        resolve(error === null ? count : 0);
+      });
+    });
   }
 
   #accept(message: IncomingMessage, response: ServerResponse): void {
@@ -83,14 +109,8 @@
       return;
     }
     this.#inFlight += 1;
-    if (this.#isStopping) {
-      response.setHeader('connection', 'close');
-    }
     response.once('close', () => {
       this.#inFlight -= 1;
-      if (this.#inFlight === 0) {
-        this.#onIdle?.();
-      }
     });
     this.#serve(message, response).catch((error: unknown) => {
       this.#options.logger.log('error', 'request-failed', { error: describeError(error) });
@@ -129,6 +149,9 @@
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       milliseconds: Math.round(elapsedMilliseconds),
     });
+    if (this.#isStopping && !response.destroyed) {
+      response.setHeader('connection', 'close');
+    }
     writeOutcome(response, request.id, outcome);
   }
 }
--- a/packages/standIns/src/node/processRig.ts
+++ b/packages/standIns/src/node/processRig.ts
@@ -16,6 +16,8 @@
 const HOST = '127.0.0.1';
 const POLL_MILLISECONDS = 50;
 const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
+/** Callers in tests notice within some polls of the status that an entry VM stops. */
+const BALANCER_REACTION_MILLISECONDS = 500;
 
 /** Thrown when a condition doesn't hold within the timeout. */
 export class RigTimeoutError extends HickoryhoistError {
@@ -42,10 +44,11 @@
 export class ProcessRig implements Disposable {
   readonly #directory = mkdtempSync(join(tmpdir(), 'hickoryhoist-'));
   readonly #processes: RigProcess[] = [];
-  readonly #logLevel: string;
+  /** Settings of entry VMs that a test does not choose itself. */
+  readonly #defaults: { readonly logLevel: string; readonly balancerReactionMilliseconds: number };
 
   constructor(logLevel = 'error') {
-    this.#logLevel = logLevel;
+    this.#defaults = { logLevel, balancerReactionMilliseconds: BALANCER_REACTION_MILLISECONDS };
   }
 
   get directory(): string {
@@ -98,7 +101,7 @@
     ) as [string, string, string, string];
     const settingsPath = join(this.#directory, `${settings.id}-${callerAddress.replace(':', '-')}.json`);
     const addresses = { callerAddress, requestAddress, controlAddress, operatorAddress };
-    writeFileSync(settingsPath, JSON.stringify({ logLevel: this.#logLevel, ...settings, ...addresses }));
+    writeFileSync(settingsPath, JSON.stringify({ ...this.#defaults, ...settings, ...addresses }));
     const args = ['serve', '--settings', settingsPath];
     const rigProcess = this.#spawn('daemon/src/node/hickoryhoistMain.ts', args, callerAddress);
     return { ...rigProcess, id: settings.id, operatorAddress };
