Let an entry VM with the most cores coordinate the slots of a whole service

Change: for a whole service candidates are ranked by cores, ties by hash; single servers are spread in proportion to cores as before. Ruled out: the link; its datagrams are small, and other entry VMs with the same link were not suspected.

--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -92,7 +92,7 @@
     const estimates = new Map<string, ProcessingTimeEstimate>();
     for (const [service, estimateByServer] of this.#coordinator.processingTimes()) {
       for (const [serverId, estimate] of estimateByServer) {
-        if (this.#selector.isPreferred(coordinatedResource(service, serverId))) {
+        if (this.#selector.isPreferred({ service, serverId })) {
           estimates.set(serverId, estimate);
         }
       }
@@ -283,7 +283,7 @@
   }
 
   #selectCoordinator({ service, requirements }: PendingRequest): CoordinatorCandidate {
-    return this.#selector.select(coordinatedResource(service, requirements.serverId));
+    return this.#selector.select({ service, serverId: requirements.serverId });
   }
 
   #createSlot(pending: PendingRequest, serverId: string): Slot {
@@ -313,8 +313,3 @@
     pending.resolve(result);
   }
 }
-
-/** Unit of coordination: a single server of a keyed service, or all servers of another service. */
-function coordinatedResource(service: string, serverId: string | undefined): string {
-  return `${service} ${serverId ?? ''}`;
-}
--- a/packages/entryVm/src/common/coordinatorSelector.ts
+++ b/packages/entryVm/src/common/coordinatorSelector.ts
@@ -8,20 +8,32 @@
 export interface CoordinatorCandidate {
   readonly id: string;
   readonly ipAddress: string;
-  /** Weight of the candidate: it coordinates a proportional share of the servers. */
+  /** The candidate coordinates a proportional share of the single servers. */
   readonly processorCores: number;
 }
 
+/** Slots that one entry VM coordinates. */
+export interface CoordinatedResource {
+  readonly service: string;
+  /** The only server that has the slots, or undefined for those of all servers of the service. */
+  readonly serverId: string | undefined;
+}
+
 export type SuspicionReason = 'silent' | 'leaving';
 
-/** Selects coordinators by rendezvous hashing: all entry VMs select the same one without communication. */
+/**
+ * Selects coordinators by rendezvous hashing: all entry VMs select the same one without communication. Load pattern:
+ * hundreds of entry VMs request the slots of one service from its coordinator, which takes more than a small entry VM
+ * has. The slots of a whole service are therefore coordinated by one with the most cores, and those of single servers
+ * by all in proportion to their cores.
+ */
 export class CoordinatorSelector {
   readonly #self: CoordinatorCandidate;
   readonly #entryVms: () => readonly CoordinatorCandidate[];
   readonly #logger: Logger;
   /** When the suspicion of an entry VM ends, by address. */
   readonly #suspectedUntil = new Map<string, number>();
-  /** Entry VMs in order of preference by resource, cached until the set of entry VMs changes. */
+  /** Entry VMs in order of preference by name of the resource, cached until the set of entry VMs changes. */
   readonly #rankings = new Map<string, readonly CoordinatorCandidate[]>();
   #rankedEntryVms: readonly CoordinatorCandidate[] = [];
   #isLeaving = false;
@@ -39,14 +51,14 @@
   }
 
   /** Returns the most preferred entry VM that is not suspected, or this one if all are. */
-  select(resource: string): CoordinatorCandidate {
+  select(resource: CoordinatedResource): CoordinatorCandidate {
     const now = performance.now();
     const ranked = this.#rankingFor(resource);
     return ranked.find(({ ipAddress }) => (this.#suspectedUntil.get(ipAddress) ?? 0) <= now) ?? this.#self;
   }
 
   /** Whether this entry VM coordinates the resource when no entry VM is suspected. */
-  isPreferred(resource: string): boolean {
+  isPreferred(resource: CoordinatedResource): boolean {
     return this.#rankingFor(resource)[0]?.id === this.#self.id;
   }
 
@@ -64,13 +76,14 @@
     this.#suspectedUntil.delete(ipAddress);
   }
 
-  #rankingFor(resource: string): readonly CoordinatorCandidate[] {
+  #rankingFor(resource: CoordinatedResource): readonly CoordinatorCandidate[] {
     const current = this.#entryVms();
     if (current !== this.#rankedEntryVms) {
       this.#rankedEntryVms = current;
       this.#rankings.clear();
     }
-    const known = this.#rankings.get(resource);
+    const name = `${resource.service} ${resource.serverId ?? ''}`;
+    const known = this.#rankings.get(name);
     if (known !== undefined) {
       return known;
     }
@@ -78,9 +91,16 @@
     if (!this.#isLeaving) {
       byId.set(this.#self.id, this.#self);
     }
-    const candidates = [...byId.values()].map(({ id, processorCores }) => ({ id, weight: processorCores }));
-    const ranked = rankByRendezvous(resource, candidates).flatMap((id) => byId.get(id) ?? []);
-    this.#rankings.set(resource, ranked);
+    const isWholeService = resource.serverId === undefined;
+    const candidates = [...byId.values()].map(({ id, processorCores }) => ({
+      id,
+      weight: isWholeService ? 1 : processorCores,
+    }));
+    const ranked = rankByRendezvous(name, candidates).flatMap((id) => byId.get(id) ?? []);
+    if (isWholeService) {
+      ranked.sort((left, right) => right.processorCores - left.processorCores);
+    }
+    this.#rankings.set(name, ranked);
     return ranked;
   }
 }
