--- a/packages/standIns/src/node/processRig.ts
+++ b/packages/standIns/src/node/processRig.ts
@@ -37,6 +37,8 @@
 /** An entry VM process; `address` is its caller address. */
 export interface EntryVmRigProcess extends RigProcess {
   readonly id: string;
+  readonly requestAddress: string;
+  readonly controlAddress: string;
   readonly operatorAddress: string;
 }
 
@@ -104,7 +106,7 @@
     writeFileSync(settingsPath, JSON.stringify({ ...this.#defaults, ...settings, ...addresses }));
     const args = ['serve', '--settings', settingsPath];
     const rigProcess = this.#spawn('daemon/src/node/hickoryhoistMain.ts', args, callerAddress);
-    return { ...rigProcess, id: settings.id, operatorAddress };
+    return { ...rigProcess, id: settings.id, requestAddress, controlAddress, operatorAddress };
   }
 
   /** Runs the command-line tool until it exits. @returns the exit code. */
