Open the operator port after the port for callers

A process that gets no processor time between the two is ready for the load balancer while callers are refused. Ruled out: a process that ends; the message names a port that opens moments later. Change: callers first, operator last; a process that cannot open a port closes the others. Also: one wait until an entry VM serves, for two tests.

--- a/packages/daemon/src/node/entryVmProcess.ts
+++ b/packages/daemon/src/node/entryVmProcess.ts
@@ -127,7 +127,12 @@
   /** Opens all ports of an entry VM. @throws GatewayListenError, ControlListenError */
   static async start(settings: EntryVmSettings, platform: Platform, logger: Logger): Promise<EntryVmProcess> {
     const entryVm = new EntryVmProcess(settings, platform, await KeyHasher.create(), logger);
-    await entryVm.#listen();
+    try {
+      await entryVm.#listen();
+    } catch (error) {
+      entryVm.dispose();
+      throw error;
+    }
     return entryVm;
   }
 
@@ -165,8 +170,9 @@
     const { callerAddress, requestAddress, controlAddress, operatorAddress, id } = this.#settings;
     await this.#controlServer.listen(controlAddress);
     await listenOn(this.#peerServer, requestAddress);
-    await listenOn(this.#operatorServer, operatorAddress);
     await listenOn(this.#callerServer, callerAddress);
+    // The operator port says whether this entry VM is ready for callers, so it opens after theirs.
+    await listenOn(this.#operatorServer, operatorAddress);
     this.#logger.log('info', 'listening', {
       id,
       callerAddress,
--- a/packages/standIns/src/node/processRig.ts
+++ b/packages/standIns/src/node/processRig.ts
@@ -176,6 +176,15 @@
   }
 }
 
+/** Waits until an entry VM is ready and a number of groups have a serving server. @throws RigTimeoutError */
+export function waitUntilServing(entryVm: EntryVmRigProcess, groupCount: number): Promise<void> {
+  return waitUntil(`${entryVm.id} serves`, async () => {
+    const status = await readStatus(entryVm);
+    const groups = status?.groups.filter(({ servers }) => servers.some(({ phase }) => phase === 'serving'));
+    return status?.isReady === true && groups?.length === groupCount;
+  });
+}
+
 /** Changes the behaviour of a server process. */
 export async function setBehaviour(server: RigProcess, change: Partial<ServerBehaviour>): Promise<void> {
   const body = JSON.stringify(change);
--- a/packages/standIns/src/node/test/plannedStop.process.test.ts
+++ b/packages/standIns/src/node/test/plannedStop.process.test.ts
@@ -4,9 +4,11 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { type EntryVmRigProcess, ProcessRig, readStatus, waitUntil } from '../processRig.js';
+import { type EntryVmRigProcess, ProcessRig, waitUntilServing } from '../processRig.js';
 
 const CALLERS = 16;
+/** The service, and the entry VMs as owners of idempotency keys. */
+const GROUPS = 2;
 const SERVICE_MILLISECONDS = 20;
 const BALANCER_REACTION_MILLISECONDS = 3_000;
 
@@ -67,11 +69,7 @@
     await rig.startEntryVm({ ...settings, id: 'entry-vm-2', availabilityZone: 'hr-2' }),
   ] as const;
   for (const entryVm of entryVms) {
-    await waitUntil(`${entryVm.id} serves`, async () => {
-      const status = await readStatus(entryVm);
-      const groups = status?.groups.filter(({ servers }) => servers.some(({ phase }) => phase === 'serving'));
-      return status?.isReady === true && groups?.length === 2;
-    });
+    await waitUntilServing(entryVm, GROUPS);
   }
   return entryVms;
 }
--- a/packages/standIns/src/node/test/wholePath.process.test.ts
+++ b/packages/standIns/src/node/test/wholePath.process.test.ts
@@ -3,7 +3,14 @@
 import { request } from 'undici';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { ProcessRig, readExecutions, readStatus, setBehaviour, waitUntil } from '../processRig.js';
+import {
+  ProcessRig,
+  readExecutions,
+  readStatus,
+  setBehaviour,
+  waitUntil,
+  waitUntilServing,
+} from '../processRig.js';
 
 interface CallResult {
   readonly status: number;
@@ -63,13 +70,7 @@
         await rig.startEntryVm({ ...settings, id: 'entry-vm-2', availabilityZone: 'hr-2' }),
       ] as const;
       for (const entryVm of entryVms) {
-        await waitUntil(`${entryVm.id} serves`, async () => {
-          const status = await readStatus(entryVm);
-          const groups = status?.groups.filter(({ servers }) =>
-            servers.some(({ phase }) => phase === 'serving'),
-          );
-          return status?.isReady === true && groups?.length === services.length + 1;
-        });
+        await waitUntilServing(entryVm, services.length + 1);
       }
 
       const lookUp = await call(entryVms[0].address, 'GET', '/catalogue/9789531234567');
