Queue a slot request once, also when a skipped coordinator answers late

Cause: after the start coordinators were late and were skipped; the request was queued in the process itself. A late 'waiting' of a skipped coordinator then started the timer that asks again, and the process submitted the request to its own scheduler a second time. The queue held it twice, but its index once, so that the loop that grants free slots never removed the second one and collected decisions until the memory was used up. In the log the process is silent from 35.7 s to its end at 41.4 s. Change: only answers of the coordinator that has the request count; a scheduler ignores a request that it has; a queue replaces one with the same identifier. Ruled out: responses without end and logs; both are bounded, and the process wrote nothing in that time. Tests: coordinatedSlots, slotScheduler, slotQueue, one each, failed before.

--- a/packages/dispatch/src/common/slotQueue.ts
+++ b/packages/dispatch/src/common/slotQueue.ts
@@ -22,7 +22,9 @@
     return this.#requests.size;
   }
 
+  /** Adds a request, in place of one with the same identifier. */
   add(request: SlotRequest, now: number): void {
+    this.delete(request.id);
     this.#requests.set(request.id, request);
     const level = this.#levelFor(request.rank);
     if (request.goalAt < now) {
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -142,7 +142,11 @@
     return this.#reviewQueues(now);
   }
 
+  /** Decides on a slot request or queues it. One that is queued or granted already changes nothing. */
   submit(request: SlotRequest, now: number): readonly SlotDecision[] {
+    if (this.#queueKeys.has(request.id) || this.#grants.has(request.id)) {
+      return [];
+    }
     const owner =
       request.serverId === undefined ? undefined : this.#servers.get(request.serverId)?.statistics;
     if (owner?.isEjected(now) === true) {
--- a/packages/dispatch/src/common/test/slotQueue.test.ts
+++ b/packages/dispatch/src/common/test/slotQueue.test.ts
@@ -35,6 +35,18 @@
 );
 
 describe('a queue of slot requests', () => {
+  it('contains a request once, also if it is added again', () => {
+    const queue = new SlotQueue();
+    queue.add(slotRequest('a', 1, 100), 0);
+    queue.add(slotRequest('a', 1, 200), 0);
+    assert.equal(
+      queue.inOrder(0).map(({ goalAt }) => goalAt),
+      [200],
+    );
+    assert.ok(queue.delete('a'));
+    assert.equal(queue.inOrder(0), []);
+  });
+
   it('keeps its order and counts through any sequence of changes (fast-check, seed 20261204)', () => {
     fastCheck.assert(
       fastCheck.property(fastCheck.array(step, { maxLength: 60 }), (steps) => {
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -153,6 +153,20 @@
     });
   });
 
+  describe('when a request is submitted twice', () => {
+    it('are granted to it once', () => {
+      const scheduler = createScheduler(createServer('one'));
+      fill(scheduler, { serverId: 'one' });
+      const request = slotRequest('twice', { serverId: 'one' });
+      scheduler.submit(request, 0);
+      scheduler.submit(request, 0);
+      const decisions = scheduler.finish('busy-0', 'answered', 100);
+      assert.equal(decisions, [{ kind: 'granted', slotRequestId: 'twice', serverId: 'one' }]);
+      assert.equal(scheduler.submit(request, 100), []);
+      assert.is(scheduler.waiting, 0);
+    });
+  });
+
   describe('when one key overloads its owner', () => {
     it('are still granted at other owners', () => {
       const scheduler = createScheduler(createServer('hot'), createServer('other'));
--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -155,7 +155,7 @@
         return true;
       case 'waiting': {
         this.#selector.recordResponse(ipAddress);
-        const pending = this.#pending.get(message.id);
+        const pending = this.#pendingAt(ipAddress, message.id);
         if (pending !== undefined) {
           pending.sendCount = 0;
           this.#setTimer(pending, QUEUED_POLL_MILLISECONDS);
@@ -168,7 +168,7 @@
         return true;
       case 'refused':
         this.#selector.recordResponse(ipAddress);
-        this.#receiveRejection(message);
+        this.#receiveRejection(ipAddress, message);
         return true;
       case 'heartbeat':
       case 'report':
@@ -179,9 +179,18 @@
     }
   }
 
-  #receiveGrant(ipAddress: string, id: string, serverId: string): void {
+  /**
+   * The slot request that a coordinator answers. Load pattern: an overloaded coordinator answers after it was skipped,
+   * and the request has moved on to another coordinator or to this process. @returns undefined in that case.
+   */
+  #pendingAt(ipAddress: string, id: string): PendingRequest | undefined {
     const pending = this.#pending.get(id);
-    if (pending?.coordinator.ipAddress !== ipAddress) {
+    return pending?.coordinator.ipAddress === ipAddress ? pending : undefined;
+  }
+
+  #receiveGrant(ipAddress: string, id: string, serverId: string): void {
+    const pending = this.#pendingAt(ipAddress, id);
+    if (pending === undefined) {
       // The request is complete, or has moved on to another coordinator.
       this.#options.send(ipAddress, { type: 'finish', id, use: 'cancelled' });
       return;
@@ -189,8 +198,8 @@
     this.#complete(pending, { kind: 'granted', slot: this.#createSlot(pending, serverId) });
   }
 
-  #receiveRejection(message: Extract<PeerMessage, { type: 'refused' }>): void {
-    const pending = this.#pending.get(message.id);
+  #receiveRejection(ipAddress: string, message: Extract<PeerMessage, { type: 'refused' }>): void {
+    const pending = this.#pendingAt(ipAddress, message.id);
     if (pending === undefined) {
       return;
     }
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -218,6 +218,23 @@
     });
   });
 
+  it('queues a request once, although a coordinator that was skipped answers late that it is queued there', async () => {
+    await withRig(3, async (rig) => {
+      const [requester = '', ...others] = rig.vms.keys();
+      others.forEach((id) => rig.delays.set(id, 400));
+      const requests = Array.from({ length: MAX_ATTEMPTS_PER_SERVER + 1 }, () => rig.acquire(requester));
+      const seen = collectResults(requests);
+      await rig.clock.tickAsync(900);
+      assert.is(seen.granted.length, MAX_ATTEMPTS_PER_SERVER);
+      assert.is(rig.vms.get(requester)?.waiting, 1);
+      finish(seen.granted[0]);
+      await rig.clock.tickAsync(900);
+      assert.is(seen.granted.length, MAX_ATTEMPTS_PER_SERVER + 1);
+      assert.is(rig.vms.get(requester)?.waiting, 0);
+      seen.granted.slice(1).forEach(finish);
+    });
+  });
+
   it('reports the processing time of a server only at its usual coordinator, not at a substitute', async () => {
     await withRig(3, async (rig) => {
       const acquireOnce = async (vm: string): Promise<string | undefined> => {
