Relay rows that another reader has relayed meanwhile

Two readers relay the same feed, and each left out rows that were nothing new to it. A row that it had from the relay of the other reader counted as such, but its message still said that it contains all changes up to its version. A process that had missed the first relay took the empty second one for complete and never noticed the hole. Change: a row is left out only if what is known of it is not newer than the version from which the feed was read. This can also hide that a server leaves, after one lost datagram. Ruled out: the first copies from neighbours; the ones that lack the servers hold them from relays, and the versions of their copies are contiguous. Test: tableWatcher, failed before.

--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -342,7 +342,7 @@
         await this.#readTable();
         return;
       case 'changes': {
-        const relevantRows = this.#isFeedContinuous ? this.#relevantRows(changes.rows) : changes.rows;
+        const relevantRows = this.#isFeedContinuous ? this.#relevantRows(changes.rows, after) : changes.rows;
         this.#isFeedContinuous = true;
         const isChanged = this.#apply(changes);
         if (isChanged) {
@@ -353,11 +353,18 @@
     }
   }
 
-  #relevantRows(rows: readonly StoredRow[]): readonly StoredRow[] {
+  /**
+   * Leaves out changed rows that do not matter to a process that has all changes up to a version. A row that is newer
+   * here was relayed by another process, and a process that missed it there must get it from this one.
+   */
+  #relevantRows(rows: readonly StoredRow[], after: number): readonly StoredRow[] {
     const { isRelevantChange } = this.#options;
     return isRelevantChange === undefined
       ? rows
-      : rows.filter((row) => isRelevantChange(this.#rows.get(row.key), row));
+      : rows.filter((row) => {
+          const before = this.#rows.get(row.key);
+          return (before !== undefined && before.version > after) || isRelevantChange(before, row);
+        });
   }
 
   async #readFirstCopy(source: FirstCopySource): Promise<void> {
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -360,4 +360,31 @@
       { isRelevantChange: (before, after) => before === undefined || !after.value.endsWith('still') },
     );
   });
+
+  it('reports a row that another process relayed while the feed was being read', async () => {
+    await withWatcher(
+      async (store, watcher, clock) => {
+        const reported: string[] = [];
+        watcher.onDidReadFeed(({ changes }) => {
+          reported.push(...changes.rows.map(({ key }) => key));
+        });
+        store.put(TABLE, 'a', 'one');
+        await clock.tickAsync(50);
+        const after = watcher.newestChange;
+        const relayed = { table: TABLE, key: 'b', value: 'new', version: after + 1 };
+        watcher.applyRelayedChanges(after, {
+          kind: 'changes',
+          rows: [relayed],
+          deletedKeys: [],
+          newestChange: relayed.version,
+          version: relayed.version,
+        });
+        store.put(TABLE, 'b', 'new');
+        await clock.tickAsync(50);
+        // A process that missed the relayed changes takes the ones reported here for all changes after this version.
+        assert.equal(reported, ['a', 'b']);
+      },
+      { isRelevantChange: (before, row) => before?.value !== row.value },
+    );
+  });
 });
