Keep two readers that reach the store, and let a rejected reader ask its neighbours

Cause: the store rejected four of ten entry VMs, one of them the reader beside the assigner. The others counted a reader as enough that reaches the store, so nobody took its place, and the assigner was the only one left. It was cut off silently at 6.6 s, which shows only when its waits for changes end. Change: an entry VM reads as well until two preferred readers that reach the store are heard. A reader that the store rejects reads missing changes from its neighbours; it did not learn of a leaving server at all. Ruled out: the assigner's processor; it went on serving requests and sending heartbeats. Tests: storeReaders, a second reader that reaches the store, failed before for the rejected entry VM and for the number of readers; servers that announce themselves while 40 entry VMs start and a quarter of the datagrams is lost (passed before).

--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -5,9 +5,8 @@
 import { splitIntoBatches } from './changeBatch.js';
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
-/** Readers beside the assigner, which reads the feeds as well. */
-const READERS_BESIDE_ASSIGNER = 1;
-const READERS_WITHOUT_ASSIGNER = 2;
+/** Entry VMs that read the feeds and reach the store; the assigner, which always reads them, is one of them. */
+const WORKING_READERS = 2;
 /** Time without a heartbeat of a reader after which another entry VM takes its place: three heartbeats. */
 const READER_TIMEOUT_MILLISECONDS = 600;
 /** Delay between the entry VMs of consecutive ranks that may take the place of a reader. */
@@ -57,8 +56,8 @@
   readonly #options: StoreReadersOptions;
   /** Last heartbeat of a reader that reaches the store. */
   #lastReaderHeartbeatAt = Number.NEGATIVE_INFINITY;
-  /** Last such heartbeat of a reader that is preferred to this process. */
-  #lastPreferredHeartbeatAt = Number.NEGATIVE_INFINITY;
+  /** Time of the last such heartbeat of each reader. */
+  readonly #workingReaders = new Map<string, number>();
   /** Time of the last heartbeat of each reader, whether it reaches the store or not. */
   readonly #heardReaders = new Map<string, number>();
   /** Start of the longest period for which a live reader has reached the store without an outage. */
@@ -136,9 +135,7 @@
           const hadNoLiveReader = now - this.#lastReaderHeartbeatAt > READER_TIMEOUT_MILLISECONDS;
           this.#storeReachableSince = hadNoLiveReader ? since : Math.min(since, this.#storeReachableSince);
           this.#lastReaderHeartbeatAt = now;
-          if (this.#isPreferred(message.id)) {
-            this.#lastPreferredHeartbeatAt = now;
-          }
+          this.#workingReaders.set(message.id, now);
         }
         this.expectVersions(message.versions);
         return true;
@@ -171,6 +168,11 @@
     if (current !== this.#orderedEntryVms) {
       this.#orderedEntryVms = current;
       this.#readerOrder = rankReaders(current).map(({ id }) => id);
+      for (const id of this.#workingReaders.keys()) {
+        if (!this.#readerOrder.includes(id)) {
+          this.#workingReaders.delete(id);
+        }
+      }
     }
   }
 
@@ -183,11 +185,26 @@
     const others = this.#readerOrder.filter((id) => id !== assigner);
     // A process that is shutting down is not in the order any more.
     const rank = others.includes(selfId) ? others.indexOf(selfId) : others.length;
-    if (rank < (assigner === undefined ? READERS_WITHOUT_ASSIGNER : READERS_BESIDE_ASSIGNER)) {
+    if (rank < (assigner === undefined ? WORKING_READERS : WORKING_READERS - 1)) {
       return true;
     }
-    const silentSince = Math.max(settledAt, this.#lastPreferredHeartbeatAt);
-    return now - silentSince > READER_TIMEOUT_MILLISECONDS + this.#replacementDelayMilliseconds(rank, now);
+    const enoughReadersAt = Math.max(settledAt, this.#lastTimeWithEnoughReaders());
+    return (
+      now - enoughReadersAt > READER_TIMEOUT_MILLISECONDS + this.#replacementDelayMilliseconds(rank, now)
+    );
+  }
+
+  /**
+   * When enough readers that reach the store and are preferred to this process were last heard. Load pattern: the store
+   * turns some entry VMs away, and the last reader that reaches it is cut off without notice. Its silence is noticed
+   * only when its waits end, so another one has to read meanwhile.
+   */
+  #lastTimeWithEnoughReaders(): number {
+    const heardAt = [...this.#workingReaders]
+      .filter(([id]) => this.#isPreferred(id))
+      .map(([, at]) => at)
+      .sort((left, right) => right - left);
+    return heardAt[WORKING_READERS - 1] ?? Number.NEGATIVE_INFINITY;
   }
 
   #replacementDelayMilliseconds(rank: number, now: number): number {
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -9,17 +9,17 @@
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import {
-  type FirstCopySource,
   type NeighbourResult,
   type NeighbourTables,
   TableWatcher,
+  type TableWatcherOptions,
 } from '@hickoryhoist/store/common/tableWatcher.js';
 import { EntryVmRegistry } from '../../entryVmRegistry.js';
 import { KeyOwnershipController } from '../../keyOwnershipController.js';
 import { changesForNeighbour } from '../../neighbourChanges.js';
 import { NeighbourSelector } from '../../neighbourSelector.js';
 import type { PeerMessage } from '../../peerMessage.js';
-import { ServerRegistry } from '../../serverRegistry.js';
+import { isNewAnnouncement, ServerRegistry } from '../../serverRegistry.js';
 
 export const SERVICE = 'catalogue';
 const SERVERS_TABLE = 'servers';
@@ -98,7 +98,11 @@
     const neighbours: NeighbourTables = {
       readChanges: (table, after, attempt) => this.#readNeighbour(selector, table, after, attempt),
     };
-    const watch = (table: string, firstCopySource?: () => FirstCopySource): TableWatcher =>
+    const decode = (_id: string, value: string): ServerRecord => JSON.parse(value) as ServerRecord;
+    const watch = (
+      table: string,
+      options: Pick<TableWatcherOptions, 'firstCopySource' | 'isRelevantChange'> = {},
+    ): TableWatcher =>
       disposables.add(
         new TableWatcher(
           store,
@@ -108,19 +112,22 @@
             pauseMilliseconds: 10,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
             neighbours,
-            ...(firstCopySource === undefined ? {} : { firstCopySource }),
+            ...options,
           },
           logger,
         ),
       );
     const controlRows = watch(CONTROL_TABLE);
-    const serverRows = watch(SERVERS_TABLE, () => selector.firstCopySource(entryVmRegistry.isSettled));
+    const serverRows = watch(SERVERS_TABLE, {
+      firstCopySource: () => selector.firstCopySource(entryVmRegistry.isSettled),
+      isRelevantChange: (before, after) => isNewAnnouncement(before, after, decode),
+    });
     const tables = new Map([
       [CONTROL_TABLE, controlRows],
       [SERVERS_TABLE, serverRows],
     ]);
     const serverRegistry: ServerRegistry = new ServerRegistry(
-      (_id, value) => JSON.parse(value) as ServerRecord,
+      decode,
       () => controller.storeReachableMilliseconds(),
       logger,
     );
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -250,6 +250,67 @@
     });
   }
 
+  it('keeps a second reader that reaches the store while the store rejects one', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      for (let number = 4; number <= 10; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      await rig.advance(3_000);
+      const [assigner = ''] = rig.assigners;
+      const rejected = readerIds(rig).filter((id) => id !== assigner);
+      assert.is(rejected.length, 1);
+      rejected.forEach((id) => {
+        rig.store.refuse(id, true);
+      });
+      // Its wait for changes is answered first, and then it takes some heartbeats until others read.
+      await rig.advance(5_000);
+      const working = readerIds(rig).filter((id) => !rejected.includes(id));
+      assert.ok(working.length >= 2, working.join());
+      assert.ok(working.length <= 3, working.join());
+      // The assigner's calls are not answered any more, which it notices only when they time out.
+      rig.store.silenceWaits(assigner, true);
+      await rig.advance(2_600);
+      rig.announce('server-4', 'leaving');
+      await rig.advance(DRAIN_MILLISECONDS);
+      const others = [...rig.vms.keys()].filter((id) => id !== assigner);
+      const aware = entryVmsAwareOfLeaving(rig, 'server-4');
+      assert.equal(
+        others.filter((id) => !aware.includes(id)),
+        [],
+      );
+    });
+  });
+
+  it('tells all entry VMs of all servers that announce themselves while everything starts and datagrams are lost', async () => {
+    const rig = new KeyOwnershipRig();
+    const started = 40;
+    const announced = 60;
+    let messageCount = 0;
+    rig.isDropped = () => {
+      messageCount += 1;
+      return messageCount % 4 === 0;
+    };
+    try {
+      for (let number = 1; number <= started; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+        await rig.clock.tickAsync(5);
+      }
+      for (let number = 1; number <= announced; number += 1) {
+        rig.announce(`server-${number.toString()}`);
+        await rig.advance(30);
+      }
+      await rig.advance(3_000);
+      for (const id of rig.vms.keys()) {
+        for (let number = 1; number <= announced; number += 1) {
+          const server = `server-${number.toString()}`;
+          assert.is(rig.phaseOf(id, server), 'ready', `${id} and ${server}`);
+        }
+      }
+    } finally {
+      rig.dispose();
+    }
+  });
+
   it('lets an entry VM that starts from a stale neighbour begin to serve only with current tables', async () => {
     await withKeyOwnershipRig(async (rig) => {
       for (let number = 4; number <= 30; number += 1) {
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -262,10 +262,12 @@
 
   /**
    * Reads missing changes, unless such a call is pending. Aborting that call would lose both the changes it returns
-   * and the evidence that the store does not respond.
+   * and the evidence that the store does not respond. A process that reads the feed asks its neighbours as well when
+   * the store does not serve it.
    */
   #catchUp(): void {
-    if (this.#source === 'feed' || this.#options.neighbours === undefined) {
+    const readsFeed = this.#source === 'feed' && this.#isFeedContinuous;
+    if (readsFeed || this.#options.neighbours === undefined) {
       this.poll();
     } else if (!this.#isPolling) {
       this.#isCatchUpDue = true;
