Serve again at once after all entry VMs lose power, and read whole tables of neighbours

Since the servers are read from neighbours, each process waited 300 ms for the rows of others and then 300 ms after a neighbour that had no copy yet. Change: a process that finds the row of its earlier incarnation knows the others from the table and does not wait; the first repeated attempt comes after 50 ms. Test: tableWatcher.

--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -79,6 +79,8 @@
   readonly #startedAt = performance.now();
   /** This entry VM as described by its stored row. */
   #storedSelf: EntryVmRecord | undefined;
+  /** Whether the table contained a row of an earlier incarnation of this entry VM, and so those of the others as well. */
+  #hasRunBefore = false;
   #addressById: ReadonlyMap<string, string> = new Map();
   #records: readonly EntryVmRecord[];
   #otherAddresses: readonly string[] = [];
@@ -98,12 +100,14 @@
 
   /**
    * Whether the entry VMs that started together with this one are known. Load pattern: all entry VMs start at the
-   * same time, and none of them finds another in the table at first.
+   * same time. At the first start of a deployment none of them finds another in the table at first; after all have
+   * lost power the table still contains them.
    */
   get isSettled(): boolean {
     const now = performance.now();
     const haveOthersStarted = this.#writtenAt !== undefined && now - this.#writtenAt > SETTLING_MILLISECONDS;
     return (
+      this.#hasRunBefore ||
       (this.#storedSelf?.incarnation === this.#self.incarnation && haveOthersStarted) ||
       now - this.#startedAt > MAX_SETTLING_MILLISECONDS
     );
@@ -118,6 +122,8 @@
   update(): void {
     const records = [...this.#rows.rows.values()].flatMap((row) => this.#parseRow(row));
     this.#storedSelf = records.find(({ id }) => id === this.#self.id);
+    this.#hasRunBefore ||=
+      this.#storedSelf !== undefined && this.#storedSelf.incarnation !== this.#self.incarnation;
     const others = records.filter(({ id }) => id !== this.#self.id);
     this.#records = [...others, ...(this.#isLeaving ? [] : [this.#self])].sort((left, right) =>
       left.id.localeCompare(right.id),
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -244,7 +244,7 @@
       return { kind: 'unavailable' };
     }
     const additionalRows = table === CONTROL_TABLE ? neighbour.controller.owners.assignmentRows() : [];
-    return changesForNeighbour(watcher, after, additionalRows) ?? { kind: 'unavailable' };
+    return changesForNeighbour(watcher, after, additionalRows) ?? { kind: 'incomplete' };
   }
 
   #send(sender: RigEntryVm, incarnation: string, to: string, message: PeerMessage): void {
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -311,6 +311,27 @@
     }
   });
 
+  it('serves again within 400 ms when all entry VMs start again after a loss of power', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      for (let number = 4; number <= 10; number += 1) {
+        rig.startVm(`vm-${number.toString()}`);
+      }
+      await rig.advance(5_000);
+      const ids = [...rig.vms.keys()];
+      ids.forEach((id) => {
+        rig.kill(id);
+      });
+      await rig.advance(1_000);
+      const restarted = ids.map((id) => rig.startVm(id));
+      let milliseconds = 0;
+      while (milliseconds < 3_000 && restarted.some(({ controller }) => !controller.isReady)) {
+        await rig.advance(10);
+        milliseconds += 10;
+      }
+      assert.ok(milliseconds <= 400, `${milliseconds.toString()} ms`);
+    });
+  });
+
   it('lets an entry VM that starts from a stale neighbour begin to serve only with current tables', async () => {
     await withKeyOwnershipRig(async (rig) => {
       for (let number = 4; number <= 30; number += 1) {
--- a/packages/entryVm/src/node/tableExchange.ts
+++ b/packages/entryVm/src/node/tableExchange.ts
@@ -15,6 +15,9 @@
 import { TextServer, type TextResponse } from './textServer.js';
 
 const PATH_PREFIX = '/tables/';
+const OK_STATUS = 200;
+/** The copy here does not know all changes after the version. */
+const INCOMPLETE_STATUS = 410;
 /** Time for a response over the slowest link, in milliseconds: 200 KB at 14 Mbit/s take 120 ms. */
 const RESPONSE_TIMEOUT_MILLISECONDS = 500;
 const KEEP_ALIVE_MILLISECONDS = 5_000;
@@ -74,8 +77,8 @@
         signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MILLISECONDS),
       });
       const text = await response.body.text();
-      if (response.statusCode !== 200) {
-        return { kind: 'unavailable' };
+      if (response.statusCode !== OK_STATUS) {
+        return { kind: response.statusCode === INCOMPLETE_STATUS ? 'incomplete' : 'unavailable' };
       }
       const { rows, ...changes } = parseDocument(path, changesSchema, text);
       return { kind: 'changes', ...changes, rows: rows.map((row) => ({ ...row, table })) };
@@ -103,11 +106,11 @@
     }
     const changes = changesForNeighbour(table, Number(after), this.#options.additionalRows(tableName));
     if (changes === undefined) {
-      return { status: 410, text: '' };
+      return { status: INCOMPLETE_STATUS, text: '' };
     }
     const { deletedKeys, newestChange, version } = changes;
     const rows = changes.rows.map((row) => ({ key: row.key, value: row.value, version: row.version }));
-    return { status: 200, text: JSON.stringify({ rows, deletedKeys, newestChange, version }) };
+    return { status: OK_STATUS, text: JSON.stringify({ rows, deletedKeys, newestChange, version }) };
   }
 }
 
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -12,8 +12,12 @@
 
 /** Interval at which a process that starts checks where to read the first copy of a table, in milliseconds. */
 const FIRST_COPY_POLL_MILLISECONDS = 50;
-/** Delay before another neighbour is asked for the first copy of a table, in milliseconds: it may have none yet either. */
-const FIRST_COPY_RETRY_MILLISECONDS = 300;
+/**
+ * Delay before another neighbour is asked for the first copy of a table, in milliseconds: it may have none yet either.
+ * It doubles with each attempt up to the maximum, for neighbours that read a slow store.
+ */
+const FIRST_COPY_RETRY_MILLISECONDS = 50;
+const MAX_FIRST_COPY_RETRY_MILLISECONDS = 300;
 
 /** Number of deletions to remember for processes that read changes from this one. */
 const MAX_DELETIONS = 500;
@@ -58,8 +62,10 @@
 /** Result of reading another process's copy. */
 export type NeighbourResult =
   | ListedChanges
-  /** The process did not respond, or does not know all changes after the version. */
+  /** The process did not respond. */
   | { readonly kind: 'unavailable' }
+  /** The process does not know all changes after the version. It may have the whole table. */
+  | { readonly kind: 'incomplete' }
   /** It is the store's turn. */
   | { readonly kind: 'use-store' };
 
@@ -398,7 +404,13 @@
         }
         return;
       case 'unavailable':
-        await delay(FIRST_COPY_RETRY_MILLISECONDS);
+      case 'incomplete':
+        await delay(
+          Math.min(
+            FIRST_COPY_RETRY_MILLISECONDS * 2 ** (this.#firstCopyAttempts - 1),
+            MAX_FIRST_COPY_RETRY_MILLISECONDS,
+          ),
+        );
         return;
       case 'use-store':
         if (this.#haveNeighboursBeenAsked) {
@@ -419,11 +431,26 @@
         return;
       case 'unavailable':
         return;
+      case 'incomplete':
+        await this.#readWholeTableOfNeighbour(attempt);
+        return;
       case 'use-store':
         this.#isPollDue = true;
     }
   }
 
+  /** Reads all rows of a neighbour. Rows here that are older than its copy and missing in it have been deleted. */
+  async #readWholeTableOfNeighbour(attempt: number): Promise<void> {
+    const result = await this.#readChangesOfNeighbour(0, attempt);
+    if (result.kind === 'changes') {
+      const keys = new Set(result.rows.map(({ key }) => key));
+      const missing = [...this.#rows.values()].filter(
+        ({ key, version }) => version <= result.version && !keys.has(key),
+      );
+      this.#apply({ ...result, deletedKeys: missing.map(({ key }) => key) });
+    }
+  }
+
   async #readChangesOfNeighbour(after: number, attempt: number): Promise<NeighbourResult> {
     const { table, neighbours } = this.#options;
     this.#isPolling = true;
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -259,11 +259,11 @@
 
   /** Runs a test with a copy that relays keep up to date and that has just fallen behind version 1,000. */
   async function withLaggingWatcher(
-    respond: (attempt: number) => NeighbourResult,
+    respond: (attempt: number, after: number) => NeighbourResult,
     test: (store: MemoryRowStore, watcher: TableWatcher, calls: () => number) => void | Promise<void>,
   ): Promise<void> {
     const neighbours: NeighbourTables = {
-      readChanges: (_table, _after, attempt) => Promise.resolve(respond(attempt)),
+      readChanges: (_table, after, attempt) => Promise.resolve(respond(attempt, after)),
     };
     await withWatcher(
       async (store, watcher, clock) => {
@@ -304,6 +304,17 @@
     );
   });
 
+  it('reads the whole table of a neighbour that does not know all deletions', async () => {
+    const rows = [{ table: TABLE, key: 'b', value: 'new', version: 1_000 }];
+    await withLaggingWatcher(
+      (_attempt, after) => (after > 0 ? { kind: 'incomplete' } : changesUpTo(1_000, { rows })),
+      (_store, watcher, calls) => {
+        assert.equal([...watcher.rows.keys()], ['b']);
+        assert.is(calls(), 0);
+      },
+    );
+  });
+
   it('asks the next neighbour, and the store last', async () => {
     const attempts: number[] = [];
     await withLaggingWatcher(
