Bring three comments in line with reads from neighbours, and start the tests' entry VMs in one place

Three comments still said that entry VMs read from the store what they read from a neighbour now, and named three readers. Ten loops of storeReaders.test.ts that start entry VMs are one function; assertions are unchanged.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -55,7 +55,7 @@
 /** Limit for each service. If there are more requests in the interval, the first ones serve as a sample. */
 const MAX_KEYS_PER_REPORT = 120;
 /**
- * Other entry VMs read a larger delta from the store instead of receiving it by datagram. A range takes up to
+ * Other entry VMs read a larger delta from a neighbour instead of receiving it by datagram. A range takes up to
  * 75 bytes. All moves of one rebalancing, with three ranges each, and the ranges that are merged with them fit.
  */
 const MAX_DELTA_RANGES = 100;
--- a/packages/entryVm/src/common/neighbourSelector.ts
+++ b/packages/entryVm/src/common/neighbourSelector.ts
@@ -10,8 +10,8 @@
 /** Half of the interval between two heartbeats of a reader. */
 const LEADER_MAX_LAG_MILLISECONDS = 100;
 /**
- * Preferred readers of the store. One reads beside the assigner and covers for it while its connection to the store
- * is unresponsive; the other one joins while there is no assigner.
+ * Preferred readers of the store, from which the leaders read. While there is an assigner, which reads as well, only the
+ * first of them reads.
  */
 const READER_COUNT = 2;
 
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -25,7 +25,7 @@
 const MAX_REPORTED_MILLISECONDS = 60_000;
 /** Limit for the row data in a message, so that its datagram crosses a slow link within milliseconds. */
 const MAX_MESSAGE_BYTES = 4_000;
-/** Changes that need more messages are not relayed; each entry VM reads them from the store. */
+/** Changes that need more messages are not relayed; each entry VM reads them from a neighbour. */
 const MAX_MESSAGES = 3;
 
 export interface StoreReadersOptions {
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -21,6 +21,13 @@
   return [...rig.vms.values()].filter(({ controller }) => controller.isReader).map(({ id }) => id);
 }
 
+/** Starts entry VMs beside the three that the rig starts with. */
+function startVmsUpTo(rig: KeyOwnershipRig, count: number): void {
+  for (let number = 4; number <= count; number += 1) {
+    rig.startVm(`vm-${number.toString()}`);
+  }
+}
+
 function entryVmsAwareOfLeaving(rig: KeyOwnershipRig, server: string): readonly string[] {
   return [...rig.vms.keys()].filter((id) => rig.phaseOf(id, server) === 'leaving');
 }
@@ -40,9 +47,7 @@
   for (const entryVms of [3, 12, 30]) {
     it(`needs no more store calls than three readers with ${entryVms.toString()} entry VMs`, async () => {
       await withKeyOwnershipRig(async (rig) => {
-        for (let number = 4; number <= entryVms; number += 1) {
-          rig.startVm(`vm-${number.toString()}`);
-        }
+        startVmsUpTo(rig, entryVms);
         const calls = await countIdleCalls(rig);
         assert.ok(calls <= MAX_IDLE_CALLS, `${calls.toString()} calls`);
       });
@@ -74,9 +79,7 @@
   ]) {
     it(`delivers every change in time when each reader ${name}`, async () => {
       await withKeyOwnershipRig(async (rig) => {
-        for (let number = 4; number <= 6; number += 1) {
-          rig.startVm(`vm-${number.toString()}`);
-        }
+        startVmsUpTo(rig, 6);
         await rig.advance(3_000);
         const readers = readerIds(rig);
         assert.ok(readers.length < rig.vms.size);
@@ -96,9 +99,7 @@
 
   it('delivers every change in time when the datagrams with changes are dropped', async () => {
     await withKeyOwnershipRig(async (rig) => {
-      for (let number = 4; number <= 6; number += 1) {
-        rig.startVm(`vm-${number.toString()}`);
-      }
+      startVmsUpTo(rig, 6);
       await rig.advance(3_000);
       rig.isDropped = ({ type }) => type === 'table-changes' || type === 'assignment-change';
       rig.announce('server-4', 'leaving');
@@ -148,9 +149,7 @@
   for (const entryVms of [30, 60]) {
     it(`delivers a change too large to relay without a call of each of ${entryVms.toString()} entry VMs`, async () => {
       await withKeyOwnershipRig(async (rig) => {
-        for (let number = 4; number <= entryVms; number += 1) {
-          rig.startVm(`vm-${number.toString()}`);
-        }
+        startVmsUpTo(rig, entryVms);
         await rig.advance(5_000);
         const before = rig.store.calls;
         announceLargeRelease(rig);
@@ -166,9 +165,7 @@
 
   it('delivers a change too large to relay to an entry VM that the store rejects', async () => {
     await withKeyOwnershipRig(async (rig) => {
-      for (let number = 4; number <= 12; number += 1) {
-        rig.startVm(`vm-${number.toString()}`);
-      }
+      startVmsUpTo(rig, 12);
       await rig.advance(5_000);
       const rejected = [...rig.vms.values()].filter(({ controller }) => !controller.isReader).slice(0, 4);
       rejected.forEach(({ id }) => {
@@ -252,9 +249,7 @@
 
   it('keeps a second reader that reaches the store while the store rejects one', async () => {
     await withKeyOwnershipRig(async (rig) => {
-      for (let number = 4; number <= 10; number += 1) {
-        rig.startVm(`vm-${number.toString()}`);
-      }
+      startVmsUpTo(rig, 10);
       await rig.advance(3_000);
       const [assigner = ''] = rig.assigners;
       const rejected = readerIds(rig).filter((id) => id !== assigner);
@@ -313,9 +308,7 @@
 
   it('serves again within 400 ms when all entry VMs start again after a loss of power', async () => {
     await withKeyOwnershipRig(async (rig) => {
-      for (let number = 4; number <= 10; number += 1) {
-        rig.startVm(`vm-${number.toString()}`);
-      }
+      startVmsUpTo(rig, 10);
       await rig.advance(5_000);
       const ids = [...rig.vms.keys()];
       ids.forEach((id) => {
@@ -334,9 +327,7 @@
 
   it('lets an entry VM that starts from a stale neighbour begin to serve only with current tables', async () => {
     await withKeyOwnershipRig(async (rig) => {
-      for (let number = 4; number <= 30; number += 1) {
-        rig.startVm(`vm-${number.toString()}`);
-      }
+      startVmsUpTo(rig, 30);
       await rig.advance(5_000);
       const readers = readerIds(rig);
       // All but the readers keep an old copy: they receive neither changes nor versions.
@@ -361,9 +352,7 @@
 
   it('replaces the readers and the assigner when all of them fail, with few calls', async () => {
     await withKeyOwnershipRig(async (rig) => {
-      for (let number = 4; number <= 60; number += 1) {
-        rig.startVm(`vm-${number.toString()}`);
-      }
+      startVmsUpTo(rig, 60);
       await rig.advance(5_000);
       readerIds(rig).forEach((id) => {
         rig.kill(id);
@@ -381,9 +370,7 @@
 
   it('needs less than a call a second for each entry VM while the store is down, and recovers after it', async () => {
     await withKeyOwnershipRig(async (rig) => {
-      for (let number = 4; number <= 60; number += 1) {
-        rig.startVm(`vm-${number.toString()}`);
-      }
+      startVmsUpTo(rig, 60);
       await rig.advance(5_000);
       const before = rig.store.calls;
       const outageSeconds = 9;
