Log which entry VMs read the store, and how a configuration arrived

Each start and end of reading is logged now, with the ages of what was heard from the other readers, and `configuration-applied` names the source and the version of the table. No logic is changed.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -160,6 +160,7 @@
       storeReachableMilliseconds: () => health.reachableMilliseconds(),
       isRelayed: (table, key) => table !== CONTROL_TABLE || !isAssignmentRowKey(key),
       sendToOthers: options.sendToOthers,
+      logger,
     });
   }
 
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { FeedChanges, TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import type { EntryVmRecord } from './entryVmRegistry.js';
 import { rankReaders } from './neighbourSelector.js';
@@ -44,6 +45,7 @@
   /** Whether changes of a row are relayed. Assignments are not; the assigner sends their deltas. */
   readonly isRelayed: (table: string, key: string) => boolean;
   readonly sendToOthers: (message: PeerMessage) => void;
+  readonly logger: Logger;
 }
 
 /**
@@ -96,7 +98,7 @@
       this.#settledAt ??= now;
     }
     this.#orderEntryVms();
-    this.#isReader = this.#settledAt !== undefined && this.#shouldRead(now, this.#settledAt);
+    this.#setReader(this.#settledAt !== undefined && this.#shouldRead(now, this.#settledAt), now);
     for (const table of tables.values()) {
       table.setSource(this.#isReader ? 'feed' : 'relay');
     }
@@ -162,6 +164,20 @@
     }
   }
 
+  #setReader(isReader: boolean, now: number): void {
+    if (isReader === this.#isReader) {
+      return;
+    }
+    this.#isReader = isReader;
+    const { selfId, assignerId, logger } = this.#options;
+    logger.log('info', isReader ? 'store-reader-started' : 'store-reader-stopped', {
+      rank: this.#readerOrder.indexOf(selfId),
+      assigner: assignerId(),
+      heard: formatAges(this.#heardReaders, now),
+      working: formatAges(this.#workingReaders, now),
+    });
+  }
+
   /** Orders the entry VMs again if their set has changed. */
   #orderEntryVms(): void {
     const current = this.#options.entryVms();
@@ -263,3 +279,8 @@
     }
   }
 }
+
+/** Times since the given moments by identifier, in milliseconds; for logs. */
+function formatAges(times: ReadonlyMap<string, number>, now: number): string {
+  return [...times].map(([id, at]) => `${id}:${Math.round(now - at).toString()}`).join(',');
+}
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -355,6 +355,8 @@
         revision: configuration.revision,
         before: current,
         routes: configuration.routes.length,
+        source: this.#configurationRows.lastSource,
+        tableVersion: this.#configurationRows.version,
       });
       this.#updateSlotServers();
     } catch (error) {
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -72,6 +72,9 @@
 /** Source of changes: the store's change feed, or another process that reads the feed and relays it. */
 export type ChangeSource = 'feed' | 'relay';
 
+/** How the newest state of a copy arrived. */
+export type CopySource = 'store' | ChangeSource | 'neighbour';
+
 /** Changes that are known one by one. */
 export type ListedChanges = Extract<TableChanges, { kind: 'changes' }>;
 
@@ -129,6 +132,7 @@
   /** Highest version that another process is known to have seen. */
   #expectedVersion = 0;
   #behindSince: number | undefined;
+  #lastSource: CopySource | undefined;
 
   /** Fires after the copy has changed and after each read of the whole table. */
   readonly onDidChange = this.#onDidChange.event;
@@ -165,6 +169,16 @@
     return this.#fullReadCount;
   }
 
+  /** Version up to which all changes are known; undefined until the table has been read. */
+  get version(): number | undefined {
+    return this.#version;
+  }
+
+  /** How the newest version of this copy arrived; for logs. */
+  get lastSource(): CopySource | undefined {
+    return this.#lastSource;
+  }
+
   /** Version of the newest known change of this table. */
   get newestChange(): number {
     return this.#newestChange;
@@ -242,7 +256,7 @@
       this.#catchUp();
       return;
     }
-    this.#apply(changes);
+    this.#apply(changes, 'relay');
   }
 
   /**
@@ -352,7 +366,7 @@
       case 'changes': {
         const relevantRows = this.#isFeedContinuous ? this.#relevantRows(changes.rows, after) : changes.rows;
         this.#isFeedContinuous = true;
-        const isChanged = this.#apply(changes);
+        const isChanged = this.#apply(changes, 'feed');
         if (isChanged) {
           this.#onDidReadFeed.fire({ table, after, changes: { ...changes, rows: relevantRows } });
           await delay(pauseMilliseconds);
@@ -399,7 +413,7 @@
     switch (result.kind) {
       case 'changes':
         this.#deletionsCompleteFrom = result.version;
-        if (!this.#apply(result)) {
+        if (!this.#apply(result, 'neighbour')) {
           this.#onDidChange.fire();
         }
         return;
@@ -427,7 +441,7 @@
     const result = await this.#readChangesOfNeighbour(after, attempt);
     switch (result.kind) {
       case 'changes':
-        this.#apply(result);
+        this.#apply(result, 'neighbour');
         return;
       case 'unavailable':
         return;
@@ -447,7 +461,7 @@
       const missing = [...this.#rows.values()].filter(
         ({ key, version }) => version <= result.version && !keys.has(key),
       );
-      this.#apply({ ...result, deletedKeys: missing.map(({ key }) => key) });
+      this.#apply({ ...result, deletedKeys: missing.map(({ key }) => key) }, 'neighbour');
     }
   }
 
@@ -461,13 +475,14 @@
     }
   }
 
-  #apply({ version, newestChange, deletedKeys, rows }: ListedChanges): boolean {
+  #apply({ version, newestChange, deletedKeys, rows }: ListedChanges, source: CopySource): boolean {
     if (version < (this.#version ?? 0)) {
       // The other source has delivered a newer version, in which rows deleted here may have been written again.
       return false;
     }
     this.#recordDeletions(deletedKeys, version);
     this.#version = Math.max(this.#version ?? 0, version);
+    this.#lastSource = source;
     this.#newestChange = Math.max(this.#newestChange, newestChange);
     if (rows.length === 0 && deletedKeys.length === 0) {
       return false;
@@ -508,6 +523,7 @@
       this.#putIfNewer(row);
     });
     this.#version = Math.max(this.#version ?? 0, snapshot.version);
+    this.#lastSource = 'store';
     this.#fullReadCount += 1;
     this.#onDidChange.fire();
   }
