Reproduce the change that nobody learns of while the store is silent to its readers

Callers were routed by a replaced configuration, because a change reached no entry VM for 2.5 to 3.7 s. The tests let the store fall silent to all readers at once, with the users' bound of 2 s, at three moments and, as a property, to any share of the entry VMs at any moment.

--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
@@ -97,6 +98,65 @@
     });
   }
 
+  for (const { name, silencedAt } of [
+    { name: 'at rest', silencedAt: 0 },
+    { name: 'a second later', silencedAt: 1_000 },
+    { name: 'two seconds later', silencedAt: 2_000 },
+  ]) {
+    it(`delivers a change in time when the store falls silent to all its readers at once, ${name}`, async () => {
+      await withKeyOwnershipRig(async (rig) => {
+        startVmsUpTo(rig, 10);
+        await rig.advance(3_000 + silencedAt);
+        const readers = readerIds(rig);
+        // More of those that would take the readers' place are cut off as well.
+        const silenced = [...new Set([...readers, 'vm-1', 'vm-2', 'vm-3'])];
+        silenced.forEach((id) => {
+          rig.store.silence(id, true);
+        });
+        await rig.advance(50);
+        rig.announce('server-4', 'leaving');
+        await rig.advance(DRAIN_MILLISECONDS);
+        assert.equal(
+          [...rig.vms.keys()].filter(
+            (id) => !silenced.includes(id) && rig.phaseOf(id, 'server-4') !== 'leaving',
+          ),
+          [],
+        );
+      });
+    });
+  }
+
+  it('delivers changes in time whatever share of the entry VMs the store falls silent to at any moment', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 0, max: 3_000 }),
+        fc.integer({ min: 0, max: 2_000 }),
+        fc.subarray(['vm-1', 'vm-2', 'vm-3', 'vm-4', 'vm-5', 'vm-6', 'vm-7', 'vm-8', 'vm-9', 'vm-10'], {
+          maxLength: 4,
+        }),
+        fc.boolean(),
+        async (silencedAt, changedAfter, others, includesReaders) => {
+          await withKeyOwnershipRig(async (rig) => {
+            startVmsUpTo(rig, 10);
+            await rig.advance(3_000 + silencedAt);
+            const silenced = new Set([...(includesReaders ? readerIds(rig) : []), ...others]);
+            silenced.forEach((id) => {
+              rig.store.silence(id, true);
+            });
+            await rig.advance(changedAfter);
+            rig.announce('server-4', 'leaving');
+            await rig.advance(DRAIN_MILLISECONDS);
+            const unaware = [...rig.vms.keys()].filter(
+              (id) => !silenced.has(id) && rig.phaseOf(id, 'server-4') !== 'leaving',
+            );
+            assert.equal(unaware, []);
+          });
+        },
+      ),
+      { seed: 26, numRuns: 25 },
+    );
+  });
+
   it('delivers every change in time when the datagrams with changes are dropped', async () => {
     await withKeyOwnershipRig(async (rig) => {
       startVmsUpTo(rig, 6);
--- a/packages/standIns/src/common/emulator/memoryRowStore.ts
+++ b/packages/standIns/src/common/emulator/memoryRowStore.ts
@@ -11,6 +11,8 @@
 import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
 
 const RESPONSE_MILLISECONDS = 4;
+/** Time beyond its wait after which a call without a response fails, as with the client of the store. */
+const SILENT_CALL_TIMEOUT_MILLISECONDS = 1_200;
 /** Time after which a wait without a response fails, as if the caller's connection timed out. */
 const UNANSWERED_WAIT_TIMEOUT_MILLISECONDS = 11_200;
 
@@ -42,6 +44,7 @@
   #condition: StoreCondition = { kind: 'working' };
   readonly #callersWithUnansweredWaits = new Set<string>();
   readonly #refusedCallers = new Set<string>();
+  readonly #silencedCallers = new Set<string>();
 
   /** Number of calls by all callers so far. */
   get calls(): number {
@@ -61,6 +64,15 @@
     }
   }
 
+  /** Lets all calls of one caller go without a response, also those in progress, as if its packets were dropped. */
+  silence(caller: string, isSilent: boolean): void {
+    if (isSilent) {
+      this.#silencedCallers.add(caller);
+    } else {
+      this.#silencedCallers.delete(caller);
+    }
+  }
+
   /** Lets later waits of one caller for changes go without a response. Waits in progress aren't affected. */
   silenceWaits(caller: string, isSilent: boolean): void {
     if (isSilent) {
@@ -99,6 +111,9 @@
       if (this.#condition.kind === 'slow') {
         await delay(this.#condition.answerMilliseconds, signal);
       }
+      if (this.#silencedCallers.has(caller)) {
+        await this.#failSilently(SILENT_CALL_TIMEOUT_MILLISECONDS, signal);
+      }
       if (this.#condition.kind === 'silent') {
         await delay(this.#condition.failsAfterMilliseconds, signal);
         throw new PlatformUnavailableError('the store did not respond', true);
@@ -117,12 +132,17 @@
       },
       waitForChanges: async (table, afterVersion, waitMilliseconds, signal) => {
         await emulateCall(signal);
+        const startedAt = performance.now();
         const changes = await (this.#callersWithUnansweredWaits.has(caller)
           ? this.#failWaitAfterTimeout(signal)
           : this.#waitForChanges(table, afterVersion, waitMilliseconds, signal));
         if (this.#condition.kind === 'down' || this.#refusedCallers.has(caller)) {
           throw new PlatformUnavailableError('the store went down', false);
         }
+        if (this.#silencedCallers.has(caller)) {
+          const failsAt = startedAt + waitMilliseconds + SILENT_CALL_TIMEOUT_MILLISECONDS;
+          await this.#failSilently(failsAt - performance.now(), signal);
+        }
         return changes;
       },
       transactRows: async (transaction) => {
@@ -201,6 +221,11 @@
     return { kind: 'changes', rows, deletedKeys, newestChange, version: this.#version };
   }
 
+  async #failSilently(milliseconds: number, signal?: AbortSignal): Promise<never> {
+    await delay(milliseconds, signal);
+    throw new PlatformUnavailableError('no response of the store', true);
+  }
+
   #failWaitAfterTimeout(signal?: AbortSignal): Promise<TableChanges> {
     return new Promise((_resolve, reject) => {
       const fail = (): void => {
