Let readers of the store prove that they are current, and replace them when they cannot

Ruled out by the trace: lost relays (nobody had the version, and no `table-behind`), and a late or refused configuration.

Readers now state in each heartbeat when the store last confirmed that their copies are current; only a response confirms, and a wait lasts so long that the two readers confirm in turn each 500 ms. If the newest confirmation is older than 900 ms, or a reader's own older than its longest wait, the next entry VMs read the store in order of rank, and the first confirmation stops the others. So what an entry VM holds is known to be current by evidence with an age, not by the absence of failures.

The tests' limits on store calls are unchanged: the control table, whose versions the heartbeats carry, is waited for 5 s in place of 2.5 s.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -153,6 +153,8 @@
     this.#readers = new StoreReaders({
       selfId: self.id,
       tables: options.tables,
+      // Owners are sent by the assigner, and late knowledge of other entry VMs does no harm.
+      isConfirmed: (table) => table !== CONTROL_TABLE,
       entryVms: () => entryVmRegistry.entryVms(),
       assignerId: () => this.#heardAssignerId(),
       isSettled: () => entryVmRegistry.isSettled,
@@ -173,6 +175,11 @@
     return this.#readers.isReader;
   }
 
+  /** Duration of the next wait for changes of a table whose changes must be known in time, in milliseconds. */
+  confirmationWaitMilliseconds(followsChange: boolean): number {
+    return this.#readers.confirmationWaitMilliseconds(followsChange, performance.now());
+  }
+
   /** Whether the owners of all keyed services are known, and the tables have been as new as those of the readers once. */
   get isReady(): boolean {
     this.#hasBeenCurrent ||=
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -58,6 +58,8 @@
     storeReachable: z.number(),
     /** Milliseconds since the last response of the store while calls fail; otherwise 0. */
     storeSilence: z.number(),
+    /** Milliseconds since the store last confirmed that the sender's tables are current. Absent in older versions. */
+    unconfirmed: z.number().default(0),
     versions: z.record(z.string(), z.number()),
   }),
   z.object({
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -8,17 +8,34 @@
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
 /** Entry VMs that read the feeds and reach the store; the assigner, which always reads them, is one of them. */
 const WORKING_READERS = 2;
-/** Time without a heartbeat of a reader after which another entry VM takes its place: three heartbeats. */
+/**
+ * Time between two confirmations that the copies of a reader are current, in milliseconds, whichever reader they come
+ * from. A response of the feed confirms a copy; without it nothing tells a quiet table from a dead connection.
+ */
+const CONFIRMATION_INTERVAL_MILLISECONDS = 500;
+/** Readers take turns, so each waits for the interval of all of them. */
+const WAIT_PERIOD_MILLISECONDS = WORKING_READERS * CONFIRMATION_INTERVAL_MILLISECONDS;
+/** Minimum duration of a wait for changes, in milliseconds. */
+const MIN_WAIT_MILLISECONDS = CONFIRMATION_INTERVAL_MILLISECONDS / 2;
+/**
+ * Age of the newest confirmation from which on another entry VM reads, in milliseconds. Between two turns that have to
+ * be put right the readers are silent for one and a half intervals; the rest is for a slow response and a busy process.
+ */
+const MAX_CONFIRMATION_AGE_MILLISECONDS = 900;
+/** Age of a reader's own confirmations from which on another entry VM takes its place: its longest wait, and as above. */
+const MAX_READER_AGE_MILLISECONDS =
+  MIN_WAIT_MILLISECONDS + WAIT_PERIOD_MILLISECONDS + HEARTBEAT_INTERVAL_MILLISECONDS + 150;
+/** Time without a heartbeat after which a reader counts as stopped: three heartbeats. */
 const READER_TIMEOUT_MILLISECONDS = 600;
 /** Delay between the entry VMs of consecutive ranks that may take the place of a reader. */
 const RANK_DELAY_MILLISECONDS = 100;
 /** Maximum delay by rank of an entry VM that hears no reader at all: it may be cut off from the others. */
 const MAX_DELAY_WITHOUT_READER_MILLISECONDS = 1_000;
 /**
- * While this many readers are heard that do not reach the store, the store is probably down for all, and others wait
- * longer before they try: long enough for the usual outages to end.
+ * While this many readers are heard whose confirmations are too old, the store is probably down for all, and others
+ * wait longer before they try: long enough for the usual outages to end.
  */
-const MAX_FAILING_READERS = 5;
+const MAX_FAILING_READERS = 8;
 const DELAY_IN_OUTAGE_MILLISECONDS = 6_000;
 /** A reader whose store calls have failed for longer does not count as alive. */
 const MAX_STORE_SILENCE_MILLISECONDS = 300;
@@ -33,6 +50,8 @@
   readonly selfId: string;
   /** All watched tables by name. */
   readonly tables: ReadonlyMap<string, TableWatcher>;
+  /** Whether changes of a table must be known in time; the readers confirm these tables to the others. */
+  readonly isConfirmed: (table: string) => boolean;
   readonly entryVms: () => readonly EntryVmRecord[];
   /** Identifier of the assigner, if it is heard. It reads the feeds itself: relayed changes may be late. */
   readonly assignerId: () => string | undefined;
@@ -58,8 +77,8 @@
   readonly #options: StoreReadersOptions;
   /** Last heartbeat of a reader that reaches the store. */
   #lastReaderHeartbeatAt = Number.NEGATIVE_INFINITY;
-  /** Time of the last such heartbeat of each reader. */
-  readonly #workingReaders = new Map<string, number>();
+  /** When each reader was last known to be current: the time of the store's response, by its heartbeats. */
+  readonly #confirmations = new Map<string, number>();
   /** Time of the last heartbeat of each reader, whether it reaches the store or not. */
   readonly #heardReaders = new Map<string, number>();
   /** Start of the longest period for which a live reader has reached the store without an outage. */
@@ -68,6 +87,8 @@
   /** When the other entry VMs became known. Heartbeats are expected from then on. */
   #settledAt: number | undefined;
   #isReader = false;
+  /** The newest confirmation of this process that was sent to the others. */
+  #announcedConfirmation = Number.NEGATIVE_INFINITY;
   /** Entry VMs in order of preference as readers, and the set that was ordered. */
   #readerOrder: readonly string[] = [];
   #orderedEntryVms: readonly EntryVmRecord[] | undefined;
@@ -102,10 +123,39 @@
     for (const table of tables.values()) {
       table.setSource(this.#isReader ? 'feed' : 'relay');
     }
-    if (this.#isReader && now >= this.#nextHeartbeatAt) {
+    const confirmedAt = this.#confirmedAt();
+    // A confirmation is announced at once, or more entry VMs begin to read.
+    if (this.#isReader && (now >= this.#nextHeartbeatAt || confirmedAt > this.#announcedConfirmation)) {
       this.#nextHeartbeatAt = now + HEARTBEAT_INTERVAL_MILLISECONDS;
-      this.#sendHeartbeats();
+      this.#announcedConfirmation = confirmedAt;
+      this.#sendHeartbeats(now);
+    }
+  }
+
+  /**
+   * Duration of a wait for changes of a confirmed table, in milliseconds. The preferred reader keeps a steady period, and
+   * the other one waits until the middle between two of its confirmations; a reader without another confirms alone.
+   * @param followsChange whether the last call returned a change, and so confirmed the copies of all readers.
+   */
+  confirmationWaitMilliseconds(followsChange: boolean, now: number): number {
+    const current = [...this.#confirmations].filter(
+      ([, confirmedAt]) => now - confirmedAt < MAX_READER_AGE_MILLISECONDS,
+    );
+    if (current.length === 0) {
+      return CONFIRMATION_INTERVAL_MILLISECONDS;
+    }
+    const preferred = current.filter(([id]) => this.#isPreferred(id)).map(([, confirmedAt]) => confirmedAt);
+    if (preferred.length === 0) {
+      return WAIT_PERIOD_MILLISECONDS;
     }
+    if (followsChange) {
+      return CONFIRMATION_INTERVAL_MILLISECONDS;
+    }
+    const turnAt = Math.max(...preferred) + CONFIRMATION_INTERVAL_MILLISECONDS;
+    const untilTurn = (turnAt - now - MIN_WAIT_MILLISECONDS) % WAIT_PERIOD_MILLISECONDS;
+    return Math.round(
+      MIN_WAIT_MILLISECONDS + ((untilTurn + WAIT_PERIOD_MILLISECONDS) % WAIT_PERIOD_MILLISECONDS),
+    );
   }
 
   /** Time for which a live reader has reached the store without an outage; 0 if there is no live reader. */
@@ -132,12 +182,15 @@
     switch (message.type) {
       case 'reader-heartbeat':
         this.#heardReaders.set(message.id, now);
-        if (message.storeSilence < MAX_STORE_SILENCE_MILLISECONDS) {
+        this.#recordConfirmation(message.id, now - message.unconfirmed);
+        if (
+          message.storeSilence < MAX_STORE_SILENCE_MILLISECONDS &&
+          message.unconfirmed < MAX_READER_AGE_MILLISECONDS
+        ) {
           const since = now - message.storeReachable;
           const hadNoLiveReader = now - this.#lastReaderHeartbeatAt > READER_TIMEOUT_MILLISECONDS;
           this.#storeReachableSince = hadNoLiveReader ? since : Math.min(since, this.#storeReachableSince);
           this.#lastReaderHeartbeatAt = now;
-          this.#workingReaders.set(message.id, now);
         }
         this.expectVersions(message.versions);
         return true;
@@ -174,7 +227,7 @@
       rank: this.#readerOrder.indexOf(selfId),
       assigner: assignerId(),
       heard: formatAges(this.#heardReaders, now),
-      working: formatAges(this.#workingReaders, now),
+      confirmed: formatAges(this.#confirmations, now),
     });
   }
 
@@ -184,9 +237,9 @@
     if (current !== this.#orderedEntryVms) {
       this.#orderedEntryVms = current;
       this.#readerOrder = rankReaders(current).map(({ id }) => id);
-      for (const id of this.#workingReaders.keys()) {
+      for (const id of this.#confirmations.keys()) {
         if (!this.#readerOrder.includes(id)) {
-          this.#workingReaders.delete(id);
+          this.#confirmations.delete(id);
         }
       }
     }
@@ -204,23 +257,24 @@
     if (rank < (assigner === undefined ? WORKING_READERS : WORKING_READERS - 1)) {
       return true;
     }
-    const enoughReadersAt = Math.max(settledAt, this.#lastTimeWithEnoughReaders());
-    return (
-      now - enoughReadersAt > READER_TIMEOUT_MILLISECONDS + this.#replacementDelayMilliseconds(rank, now)
-    );
+    return this.#readersOverdueMilliseconds(now, settledAt) > this.#replacementDelayMilliseconds(rank, now);
   }
 
   /**
-   * When enough readers that reach the store and are preferred to this process were last heard. Load pattern: the store
-   * turns some entry VMs away, and the last reader that reaches it is cut off without notice. Its silence is noticed
-   * only when its waits end, so another one has to read meanwhile.
+   * Time for which the readers that are preferred to this process have not been current, or not as many as there have to
+   * be. Load pattern: the store falls silent to all readers at the same moment, and to some of the entry VMs that take
+   * their place.
    */
-  #lastTimeWithEnoughReaders(): number {
-    const heardAt = [...this.#workingReaders]
+  #readersOverdueMilliseconds(now: number, settledAt: number): number {
+    const confirmedAt = [...this.#confirmations]
       .filter(([id]) => this.#isPreferred(id))
       .map(([, at]) => at)
       .sort((left, right) => right - left);
-    return heardAt[WORKING_READERS - 1] ?? Number.NEGATIVE_INFINITY;
+    const ageOf = (index: number): number => now - Math.max(settledAt, confirmedAt[index] ?? settledAt);
+    return Math.max(
+      ageOf(0) - MAX_CONFIRMATION_AGE_MILLISECONDS,
+      ageOf(WORKING_READERS - 1) - MAX_READER_AGE_MILLISECONDS,
+    );
   }
 
   #replacementDelayMilliseconds(rank: number, now: number): number {
@@ -234,7 +288,10 @@
       return Math.min(rankDelay, MAX_DELAY_WITHOUT_READER_MILLISECONDS);
     }
     // A process that reads already is not heard by itself and goes on.
-    const isCrowded = !this.#isReader && this.#heardReaders.size >= MAX_FAILING_READERS;
+    const failing = [...this.#heardReaders.keys()].filter(
+      (id) => now - (this.#confirmations.get(id) ?? 0) > MAX_READER_AGE_MILLISECONDS,
+    );
+    const isCrowded = !this.#isReader && failing.length >= MAX_FAILING_READERS;
     return isCrowded ? DELAY_IN_OUTAGE_MILLISECONDS + rankDelay : rankDelay;
   }
 
@@ -245,13 +302,27 @@
     );
   }
 
-  #sendHeartbeats(): void {
+  #recordConfirmation(readerId: string, confirmedAt: number): void {
+    const known = this.#confirmations.get(readerId) ?? Number.NEGATIVE_INFINITY;
+    this.#confirmations.set(readerId, Math.max(known, confirmedAt));
+  }
+
+  /** Up to when the copies of this process are known to be current. */
+  #confirmedAt(): number {
+    const { tables, isConfirmed } = this.#options;
+    return Math.min(
+      ...[...tables].flatMap(([name, table]) => (isConfirmed(name) ? [table.confirmedAt] : [])),
+    );
+  }
+
+  #sendHeartbeats(now: number): void {
     const { selfId, storeSilenceMilliseconds, storeReachableMilliseconds, sendToOthers } = this.#options;
     sendToOthers({
       type: 'reader-heartbeat',
       id: selfId,
       storeSilence: Math.round(storeSilenceMilliseconds()),
       storeReachable: Math.round(Math.min(storeReachableMilliseconds(), MAX_REPORTED_MILLISECONDS)),
+      unconfirmed: Math.round(Math.min(now - this.#confirmedAt(), MAX_REPORTED_MILLISECONDS)),
       versions: this.versions(),
     });
   }
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -108,7 +108,8 @@
           store,
           {
             table,
-            waitMilliseconds: 2_500,
+            waitMilliseconds: (followsChange) =>
+              table === CONTROL_TABLE ? 5_000 : controller.confirmationWaitMilliseconds(followsChange),
             pauseMilliseconds: 10,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
             neighbours,
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -29,10 +29,10 @@
 import { TextServer } from './textServer.js';
 
 /**
- * Duration of a long poll of a change feed. A dead connection is noticed only when the poll ends, so it is
- * short. The load on the store is low all the same, because only a few entry VMs poll.
+ * Duration of a long poll of the control table's feed. A dead connection is noticed only when the poll ends, or by the
+ * versions that other entry VMs report.
  */
-const FEED_WAIT_MILLISECONDS = 2_500;
+const CONTROL_WAIT_MILLISECONDS = 5_000;
 /** Pause after a change in the table of servers, so that announcements in quick succession share a call. */
 const SERVERS_PAUSE_MILLISECONDS = 250;
 /** Pause after a change in the control table. Ownership changes are sent by datagram as well, without delay. */
@@ -110,7 +110,10 @@
           store,
           {
             table,
-            waitMilliseconds: FEED_WAIT_MILLISECONDS,
+            waitMilliseconds: (followsChange) =>
+              table === CONTROL_TABLE
+                ? CONTROL_WAIT_MILLISECONDS
+                : this.#keyOwnership.confirmationWaitMilliseconds(followsChange),
             pauseMilliseconds,
             ...options,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
--- a/packages/entryVm/src/node/test/tableExchange.test.ts
+++ b/packages/entryVm/src/node/test/tableExchange.test.ts
@@ -50,7 +50,7 @@
     const store = new MemoryRowStore();
     const watcher = new TableWatcher(
       store.connect('vm-2'),
-      { table: TABLE, waitMilliseconds: 1_000, pauseMilliseconds: 1 },
+      { table: TABLE, waitMilliseconds: () => 1_000, pauseMilliseconds: 1 },
       silentLogger,
     );
     await new Promise((resolve) => setTimeout(resolve, 50));
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -28,8 +28,11 @@
 /** Which table to watch, and how often to read its feed. */
 export interface TableWatcherOptions {
   readonly table: string;
-  /** Maximum time that one call waits for changes, in milliseconds. */
-  readonly waitMilliseconds: number;
+  /**
+   * Maximum time that the next call waits for changes, in milliseconds.
+   * @param followsChange whether the last call returned a change, as it did for all processes that waited for one.
+   */
+  readonly waitMilliseconds: (followsChange: boolean) => number;
   /** Delay after a change before the next call, so that one call returns several quick changes; in milliseconds. */
   readonly pauseMilliseconds: number;
   /**
@@ -133,6 +136,9 @@
   #expectedVersion = 0;
   #behindSince: number | undefined;
   #lastSource: CopySource | undefined;
+  #confirmedAt = Number.NEGATIVE_INFINITY;
+  /** Whether the last response of the feed contained a change. */
+  #followsChange = false;
 
   /** Fires after the copy has changed and after each read of the whole table. */
   readonly onDidChange = this.#onDidChange.event;
@@ -174,6 +180,14 @@
     return this.#version;
   }
 
+  /**
+   * Time of the last response of the store about this table, on the runtime's monotonic clock. Up to then the copy
+   * contains all changes. A pending wait confirms nothing: its connection may be dead.
+   */
+  get confirmedAt(): number {
+    return this.#confirmedAt;
+  }
+
   /** How the newest version of this copy arrived; for logs. */
   get lastSource(): CopySource | undefined {
     return this.#lastSource;
@@ -238,10 +252,17 @@
     this.#catchUp();
   }
 
-  /** Sets the source of changes. A pending call to the feed is not aborted. */
+  /**
+   * Sets the source of changes. A pending call to the feed is not aborted. The first call to the feed does not wait for
+   * changes, so that the copy is confirmed at once, unless it was confirmed just before.
+   */
   setSource(source: ChangeSource): void {
     if (this.#source !== source) {
       this.#source = source;
+      this.#isPollDue ||=
+        source === 'feed' &&
+        this.#version !== undefined &&
+        performance.now() - this.#confirmedAt > this.#options.waitMilliseconds(false);
       this.#wakeUp();
     }
   }
@@ -346,7 +367,7 @@
       });
       return;
     }
-    const wait = this.#isPollDue ? 0 : waitMilliseconds;
+    const wait = this.#isPollDue ? 0 : waitMilliseconds(this.#followsChange);
     this.#isPollDue = false;
     const after = this.#version;
     this.#waitAbort = new AbortController();
@@ -364,9 +385,11 @@
         await this.#readTable();
         return;
       case 'changes': {
+        this.#confirmedAt = performance.now();
         const relevantRows = this.#isFeedContinuous ? this.#relevantRows(changes.rows, after) : changes.rows;
         this.#isFeedContinuous = true;
         const isChanged = this.#apply(changes, 'feed');
+        this.#followsChange = isChanged;
         if (isChanged) {
           this.#onDidReadFeed.fire({ table, after, changes: { ...changes, rows: relevantRows } });
           await delay(pauseMilliseconds);
@@ -510,6 +533,7 @@
 
   async #readTable(): Promise<void> {
     const snapshot = await this.#store.readTable(this.#options.table);
+    this.#confirmedAt = performance.now();
     const keys = new Set(snapshot.rows.map(({ key }) => key));
     const deletedKeys = [...this.#rows.keys()].filter((known) => !keys.has(known));
     for (const key of deletedKeys) {
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -29,7 +29,7 @@
     toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
   });
   const store = new MemoryRowStore();
-  const options = { table: TABLE, waitMilliseconds: 10_000, pauseMilliseconds: 10, ...extraOptions };
+  const options = { table: TABLE, waitMilliseconds: () => 10_000, pauseMilliseconds: 10, ...extraOptions };
   const health = new StoreHealth(silentLogger);
   const watcher = new TableWatcher(observeRowStore(store.connect('vm'), health), options, silentLogger);
   try {
