Limit the time of a request also while there is no connection

Cause: the HTTP client notices an aborted signal only once it has a connection, and gives up a connection that nobody accepts or refuses after 10 s by default. The 500 ms of a read from a neighbour did not count until then, and while a read is pending no other is started, so the copy stayed stale. Ruled out: the store, which was not asked; a lost version, which the entry VM had heard (`table-behind`).

`requestText` limits the time of the whole request, whatever the client does, and all clients for small requests use it: reads from neighbours, the store of the platform, and in the product's own interface the platform's services, commands to servers and the operator port, which had the same fault. Connections are given up after the same times.

Evidence: a port that neither accepts nor refuses connections.

--- a/packages/daemon/src/node/entryVmProcess.ts
+++ b/packages/daemon/src/node/entryVmProcess.ts
@@ -20,6 +20,7 @@
 import { ConnectionPool } from '@hickoryhoist/gateway/node/connectionPool.js';
 import { GatewayServer } from '@hickoryhoist/gateway/node/gatewayServer.js';
 import { ENTRY_VM_GROUP, EntryVmControl } from '@hickoryhoist/ownership/common/entryVmControl.js';
+import { leaseTiming } from '@hickoryhoist/ownership/common/leaseTiming.js';
 import { GrpcControlServer } from '@hickoryhoist/ownership/node/grpcControlServer.js';
 import { GrpcPeerClient } from '@hickoryhoist/ownership/node/grpcPeerClient.js';
 import { HttpServerClient } from '@hickoryhoist/ownership/node/httpServerClient.js';
@@ -53,7 +54,10 @@
     const random = new RandomSource(randomInt(MAX_SEED));
     const loadBalancer = new LoadBalancer(random);
     const crashDetector = new CrashingRequestDetector();
-    const agent = new Agent({ keepAliveTimeout: COMMAND_KEEP_ALIVE_MILLISECONDS });
+    const agent = new Agent({
+      keepAliveTimeout: COMMAND_KEEP_ALIVE_MILLISECONDS,
+      connectTimeout: leaseTiming.commandTimeoutMilliseconds,
+    });
     this.register(toDisposable(() => void agent.destroy()));
     this.#control = this.register(
       new EntryVmControl({
--- a/packages/daemon/src/node/operatorClient.ts
+++ b/packages/daemon/src/node/operatorClient.ts
@@ -1,7 +1,8 @@
-import { request } from 'undici';
+import { Agent } from 'undici';
 import type { z } from 'zod';
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
 import { describeError, HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
+import { requestText } from '@hickoryhoist/base/node/textRequest.js';
 
 const CALL_TIMEOUT_MILLISECONDS = 3_000;
 const STATUS_OK = 200;
@@ -29,18 +30,22 @@
   path: string,
   body: object | undefined,
 ): Promise<string> {
+  const agent = new Agent({ connectTimeout: CALL_TIMEOUT_MILLISECONDS });
   try {
-    const response = await request(`http://${address}${path}`, {
+    const { status, text } = await requestText(agent, {
+      origin: `http://${address}`,
       method,
-      body: body === undefined ? null : JSON.stringify(body),
-      signal: AbortSignal.timeout(CALL_TIMEOUT_MILLISECONDS),
+      path,
+      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
     });
-    const text = await response.body.text();
-    if (response.statusCode !== STATUS_OK) {
-      throw new OperatorPortError(`status ${response.statusCode.toString()}: ${text.trim()}`);
+    if (status !== STATUS_OK) {
+      throw new OperatorPortError(`status ${status.toString()}: ${text.trim()}`);
     }
     return text;
   } catch (error) {
     throw new OperatorPortError(`${address}: ${describeError(error)}`, { cause: error });
+  } finally {
+    void agent.destroy();
   }
 }
--- a/packages/entryVm/src/node/tableExchange.ts
+++ b/packages/entryVm/src/node/tableExchange.ts
@@ -1,9 +1,10 @@
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { z } from 'zod';
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { requestText } from '@hickoryhoist/base/node/textRequest.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import type {
   NeighbourResult,
@@ -53,6 +54,7 @@
     this.#agent = new Agent({
       connections: 1,
       pipelining: 1,
+      connectTimeout: RESPONSE_TIMEOUT_MILLISECONDS,
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
       maxResponseSize: MAX_RESPONSE_BYTES,
     });
@@ -72,13 +74,14 @@
     }
     const path = `${PATH_PREFIX}${encodeURIComponent(table)}/${after.toString()}`;
     try {
-      const response = await request(`http://${neighbour.ipAddress}:${port.toString()}${path}`, {
-        dispatcher: this.#agent,
-        signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MILLISECONDS),
+      const { status, text } = await requestText(this.#agent, {
+        origin: `http://${neighbour.ipAddress}:${port.toString()}`,
+        method: 'GET',
+        path,
+        timeoutMilliseconds: RESPONSE_TIMEOUT_MILLISECONDS,
       });
-      const text = await response.body.text();
-      if (response.statusCode !== OK_STATUS) {
-        return { kind: response.statusCode === INCOMPLETE_STATUS ? 'incomplete' : 'unavailable' };
+      if (status !== OK_STATUS) {
+        return { kind: status === INCOMPLETE_STATUS ? 'incomplete' : 'unavailable' };
       }
       const { rows, ...changes } = parseDocument(path, changesSchema, text);
       return { kind: 'changes', ...changes, rows: rows.map((row) => ({ ...row, table })) };
--- a/packages/entryVm/src/node/test/tableExchange.test.ts
+++ b/packages/entryVm/src/node/test/tableExchange.test.ts
@@ -2,6 +2,7 @@
 import { silentLogger } from '@hickoryhoist/base/common/logger.js';
 import { MemoryRowStore } from '@hickoryhoist/standIns/common/emulator/memoryRowStore.js';
 import { findFreePort } from '@hickoryhoist/standIns/node/freePort.js';
+import { UnacceptingPort } from '@hickoryhoist/standIns/node/unacceptingPort.js';
 import { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { EntryVmRecord } from '../../common/entryVmRegistry.js';
@@ -10,6 +11,8 @@
 import { type TextResponse, TextServer } from '../textServer.js';
 
 const TABLE = 'op';
+/** Three neighbours that do not respond, and the store after them, must fit into the 2 s until a change is in force. */
+const MAX_READ_MILLISECONDS = 600;
 
 function record(id: string, ipAddress: string): EntryVmRecord {
   return {
@@ -100,6 +103,21 @@
     });
   });
 
+  it('gives up a neighbour without power that neither accepts nor refuses a connection', async () => {
+    const unaccepting = await UnacceptingPort.listen('127.0.0.2');
+    try {
+      await withExchange('vm-1', unaccepting.port, new Map(), async (client) => {
+        const startedAt = performance.now();
+        const results = [client.readChanges(TABLE, 0, 0), client.readChanges('servers', 0, 0)];
+        assert.equal(await Promise.all(results), [{ kind: 'unavailable' }, { kind: 'unavailable' }]);
+        const milliseconds = Math.round(performance.now() - startedAt);
+        assert.ok(milliseconds < MAX_READ_MILLISECONDS, `${milliseconds.toString()} ms`);
+      });
+    } finally {
+      await unaccepting.dispose();
+    }
+  });
+
   it('answers a malformed path with status 404', async () => {
     const port = await findFreePort();
     await withExchange('vm-2', port, new Map(), async (server) => {
--- a/packages/ownership/src/node/httpServerClient.ts
+++ b/packages/ownership/src/node/httpServerClient.ts
@@ -1,6 +1,7 @@
-import { request, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
+import { requestText } from '@hickoryhoist/base/node/textRequest.js';
 import {
   OWNERSHIP_PATH,
   type OwnershipCommand,
@@ -24,31 +25,25 @@
     command: OwnershipCommand,
     timeoutMilliseconds: number,
   ): Promise<CommandResponse> {
-    const cancellation = new AbortController();
-    const timer = setTimeout(() => {
-      cancellation.abort();
-    }, timeoutMilliseconds);
     try {
-      const response = await request(`http://${address}${OWNERSHIP_PATH}`, {
-        dispatcher: this.#dispatcher,
+      const { status, text } = await requestText(this.#dispatcher, {
+        origin: `http://${address}`,
         method: 'POST',
-        body: JSON.stringify(command),
+        path: OWNERSHIP_PATH,
         headers: { 'content-type': 'application/json' },
-        signal: cancellation.signal,
+        body: JSON.stringify(command),
+        timeoutMilliseconds,
       });
-      const text = await response.body.text();
-      switch (response.statusCode) {
+      switch (status) {
         case STATUS_OK:
           return { kind: 'checked', state: parseDocument(address, ownershipStateSchema, text) };
         case STATUS_NOT_FOUND:
           return { kind: 'unchecked' };
         default:
-          throw new ServerUnreachableError(`${address}: status ${response.statusCode.toString()}`);
+          throw new ServerUnreachableError(`${address}: status ${status.toString()}`);
       }
     } catch (error) {
       throw new ServerUnreachableError(`${address}: ${describeError(error)}`, { cause: error });
-    } finally {
-      clearTimeout(timer);
     }
   }
 }
--- a/packages/store/src/node/httpPlatform.ts
+++ b/packages/store/src/node/httpPlatform.ts
@@ -3,6 +3,7 @@
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
 import { type Disposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
+import { requestText } from '@hickoryhoist/base/node/textRequest.js';
 import type { ObjectStore } from '../common/objectStore.js';
 import type { Platform } from '../common/platform.js';
 import {
@@ -26,6 +27,7 @@
 
 /** Client of the platform's HTTP interface. */
 export class HttpPlatform implements Platform, Disposable {
+  readonly #origin: string;
   readonly #pool: Pool;
 
   readonly table: TableService;
@@ -34,7 +36,11 @@
 
   /** @param address `host:port` of the platform. */
   constructor(address: string) {
-    this.#pool = new Pool(`http://${address}`, { connections: MAXIMUM_CONNECTIONS });
+    this.#origin = `http://${address}`;
+    this.#pool = new Pool(this.#origin, {
+      connections: MAXIMUM_CONNECTIONS,
+      connectTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+    });
     this.table = {
       read: (key) => this.#call('/table/read', { key }, tableRowSchema, false) satisfies Promise<TableRow>,
       transact: (operations: readonly TableOperation[]): Promise<TransactionResult> =>
@@ -63,16 +69,16 @@
     isWrite: boolean,
   ): Promise<z.output<S>> {
     try {
-      const response = await this.#pool.request({
-        path,
+      const { status, text } = await requestText(this.#pool, {
+        origin: this.#origin,
         method: 'POST',
-        body: JSON.stringify(message),
+        path,
         headers: { 'content-type': 'application/json' },
-        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MILLISECONDS),
+        body: JSON.stringify(message),
+        timeoutMilliseconds: REQUEST_TIMEOUT_MILLISECONDS,
       });
-      const text = await response.body.text();
-      if (response.statusCode !== 200) {
-        throw new PlatformUnavailableError(`status ${response.statusCode.toString()}`, isWrite);
+      if (status !== 200) {
+        throw new PlatformUnavailableError(`status ${status.toString()}`, isWrite);
       }
       return parseDocument(`response of ${path}`, schema, text);
     } catch (error) {
