Count the confirmations of an assigner that is no longer heard until they are too old

Callers: none affected; found by making the test rig realistic (a neighbour that has lost power takes its time limit instead of failing at once): "replaces the readers and the assigner when all of them fail, with few calls" needed 131 calls, 116 allowed.

Cause, from the trace: the assigner counts as a preferred reader of everybody because it is the assigner. 800 ms after its last heartbeat it is suspected, so its confirmation of 830 ms ago no longer counted, and fifteen entry VMs with a better rank than the other reader began to read at the same tick. The last assigner that was heard stays preferred until another one is heard; its confirmations age like those of others.

--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -87,6 +87,8 @@
   /** When the other entry VMs became known. Heartbeats are expected from then on. */
   #settledAt: number | undefined;
   #isReader = false;
+  /** The assigner that was heard last. Its confirmations count until they are too old, whether it is still heard or not. */
+  #lastAssignerId: string | undefined;
   /** The newest confirmation of this process that was sent to the others. */
   #announcedConfirmation = Number.NEGATIVE_INFINITY;
   /** Entry VMs in order of preference as readers, and the set that was ordered. */
@@ -114,7 +116,8 @@
   }
 
   tick(now: number): void {
-    const { isSettled, tables } = this.#options;
+    const { isSettled, tables, assignerId } = this.#options;
+    this.#lastAssignerId = assignerId() ?? this.#lastAssignerId;
     if (isSettled()) {
       this.#settledAt ??= now;
     }
@@ -296,9 +299,10 @@
   }
 
   #isPreferred(readerId: string): boolean {
-    const { selfId, assignerId } = this.#options;
+    const { selfId } = this.#options;
     return (
-      readerId === assignerId() || this.#readerOrder.indexOf(readerId) < this.#readerOrder.indexOf(selfId)
+      readerId === this.#lastAssignerId ||
+      this.#readerOrder.indexOf(readerId) < this.#readerOrder.indexOf(selfId)
     );
   }
 
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -25,6 +25,7 @@
 const SERVERS_TABLE = 'servers';
 const TICK_MILLISECONDS = 50;
 const CHECK_MILLISECONDS = 10;
+const NEIGHBOUR_TIMEOUT_MILLISECONDS = 500;
 const SAMPLE_KEYS = [0, 1, 8_191, 8_192, 20_000, 32_767, 32_768, 49_151, 49_152, 60_000, 65_535];
 
 export interface RigEntryVm {
@@ -160,6 +161,7 @@
     this.vms.set(id, vm);
     this.#entryVmRegistries.set(id, entryVmRegistry);
     this.#serverRegistries.set(id, serverRegistry);
+    this.#selectors.set(id, selector);
     const timer = setInterval(() => {
       if (vm.isRunning) {
         serverRegistry.update(serverRows.rows);
@@ -228,6 +230,19 @@
 
   readonly #serverRegistries = new Map<string, ServerRegistry>();
 
+  /** Entry VMs that an entry VM reads missing changes from, in order. */
+  neighboursOf(id: string): readonly string[] {
+    const ids: string[] = [];
+    let next = this.#selectors.get(id)?.select(0);
+    while (next !== undefined) {
+      ids.push(next.id);
+      next = this.#selectors.get(id)?.select(ids.length);
+    }
+    return ids;
+  }
+
+  readonly #selectors = new Map<string, NeighbourSelector>();
+
   async #readNeighbour(
     selector: NeighbourSelector,
     table: string,
@@ -242,6 +257,8 @@
     const neighbour = this.vms.get(record.id);
     const watcher = neighbour?.tables.get(table);
     if (watcher === undefined || neighbour?.isRunning !== true) {
+      // Nobody refuses the connection to a machine without power.
+      await delay(NEIGHBOUR_TIMEOUT_MILLISECONDS);
       return { kind: 'unavailable' };
     }
     const additionalRows = table === CONTROL_TABLE ? neighbour.controller.owners.assignmentRows() : [];
