Relay changes so that a process that has missed nothing need not read a neighbour

Cause: versions count the changes of all tables. A reader's version moves on with each response of the feed, also without a row, and relayed changes said that they follow that version. The others had only the version of the last relayed row, took the difference for missed changes, and read a neighbour. A relay now states the version since which the table has not changed, as far as the feed has shown it; deletions count, and after a read of the whole table, which does not show them, its version does.

--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -189,6 +189,29 @@
     });
   });
 
+  it('delivers a change without a read of a neighbour after only other tables have changed for a while', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      startVmsUpTo(rig, 10);
+      await rig.advance(3_000);
+      for (const phase of ['leaving', 'ready', 'leaving'] as const) {
+        for (let number = 0; number < 20; number += 1) {
+          rig.store.put('another table', 'row', number.toString());
+          await rig.advance(150);
+        }
+        rig.announce('server-4', phase);
+        await rig.advance(200);
+        assert.equal(
+          [...rig.vms.keys()].filter((id) => rig.phaseOf(id, 'server-4') !== phase),
+          [],
+        );
+      }
+      assert.equal(
+        rig.trace.filter((line) => line.includes('table-behind') && line.includes('table=servers')),
+        [],
+      );
+    });
+  });
+
   it('delivers many new servers to all entry VMs without a call for each of them', async () => {
     await withKeyOwnershipRig(async (rig) => {
       await rig.advance(3_000);
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -90,7 +90,7 @@
 /** Changes that the feed returned for a given version. */
 export interface FeedChanges {
   readonly table: string;
-  /** Version after which the changes were read. */
+  /** The changes are all of the table after this version. */
   readonly after: number;
   readonly changes: ListedChanges;
 }
@@ -131,6 +131,11 @@
   #fullReadCount = 0;
   #backoffMilliseconds = INITIAL_BACKOFF_MILLISECONDS;
   #newestChange = 0;
+  /**
+   * Version from which on the table did not change up to `#version`. Versions count the changes of all tables, so a
+   * process that knows this version has missed nothing although its own is lower.
+   */
+  #unchangedSince = 0;
   #waitAbort: AbortController | undefined;
   /** Highest version that another process is known to have seen. */
   #expectedVersion = 0;
@@ -388,10 +393,15 @@
         this.#confirmedAt = performance.now();
         const relevantRows = this.#isFeedContinuous ? this.#relevantRows(changes.rows, after) : changes.rows;
         this.#isFeedContinuous = true;
+        const unchangedSince = Math.min(this.#unchangedSince, after);
         const isChanged = this.#apply(changes, 'feed');
         this.#followsChange = isChanged;
         if (isChanged) {
-          this.#onDidReadFeed.fire({ table, after, changes: { ...changes, rows: relevantRows } });
+          this.#onDidReadFeed.fire({
+            table,
+            after: unchangedSince,
+            changes: { ...changes, rows: relevantRows },
+          });
           await delay(pauseMilliseconds);
         }
       }
@@ -506,6 +516,7 @@
     this.#recordDeletions(deletedKeys, version);
     this.#version = Math.max(this.#version ?? 0, version);
     this.#lastSource = source;
+    this.#recordUnchanged(source, version, newestChange);
     this.#newestChange = Math.max(this.#newestChange, newestChange);
     if (rows.length === 0 && deletedKeys.length === 0) {
       return false;
@@ -548,10 +559,24 @@
     });
     this.#version = Math.max(this.#version ?? 0, snapshot.version);
     this.#lastSource = 'store';
+    this.#unchangedSince = this.#version;
     this.#fullReadCount += 1;
     this.#onDidChange.fire();
   }
 
+  #recordUnchanged(source: CopySource, version: number, newestChange: number): void {
+    switch (source) {
+      case 'feed':
+      case 'relay':
+        // Only the feed states the versions of deletions.
+        this.#unchangedSince = Math.max(this.#unchangedSince, newestChange);
+        return;
+      case 'neighbour':
+      case 'store':
+        this.#unchangedSince = Math.max(this.#unchangedSince, version);
+    }
+  }
+
   #recordDeletions(keys: readonly string[], version: number): void {
     this.#deletions.push(...keys.map((key) => ({ key, version })));
     for (const { version: forgotten } of this.#deletions.splice(0, this.#deletions.length - MAX_DELETIONS)) {
