Ask the next neighbour at once when one does not respond

Callers could be routed by old data for more than two seconds after several entry VMs had lost power: each neighbour that did not respond took its 500 ms, and before the next one was asked the copy had to be found stale again by a heartbeat and 300 ms. Now the next one is asked at once, and at last the store, once around for each time that a copy is found stale.

--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -246,6 +246,23 @@
     });
   }
 
+  it('delivers a change too large to relay in time when entry VMs that it is read from have just lost power', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      startVmsUpTo(rig, 12);
+      await rig.advance(5_000);
+      const lost = rig.neighboursOf('vm-12').filter((id) => !rig.assigners.includes(id));
+      assert.is(lost.length, 3, lost.join());
+      announceLargeRelease(rig);
+      lost.forEach((id) => {
+        rig.kill(id);
+      });
+      await rig.advance(DRAIN_MILLISECONDS);
+      for (const id of rig.vms.keys()) {
+        assert.is(rig.phaseOf(id, LAST_SERVER_OF_RELEASE), 'ready', id);
+      }
+    });
+  });
+
   it('delivers a change too large to relay to an entry VM that the store rejects', async () => {
     await withKeyOwnershipRig(async (rig) => {
       startVmsUpTo(rig, 12);
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -477,6 +477,8 @@
         this.#apply(result, 'neighbour');
         return;
       case 'unavailable':
+        // The next neighbour is asked at once, at last the store: each that does not respond takes its time limit.
+        this.#isCatchUpDue = true;
         return;
       case 'incomplete':
         await this.#readWholeTableOfNeighbour(attempt);
