Send nothing more to a server that states in a response that it is leaving

Callers' requests reached servers that had said in their responses that they are about to stop (DRAIN), when the store could not say so: nothing read the header `Server-Leaving`.

What a server states is decoded once, in the adapter, for every response, also refusals and failures; a value other than `1` is logged and counts as not made. The registry of servers takes the server for leaving from then on, until it has a new incarnation: neither later responses without the header nor repeated announcements change that. So requests that wait move, keys are handed over, idle connections close and requests in flight end, all as after an announcement. The other entry VMs are told once, by the first to hear it: they may not reach the store, and the assigner has to move the keys. It costs one datagram to each, only where the store's row was not there first.

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget } from './retryBudget.js';
 import type { ServerCallResult, ServerRefusal, ServerTransport } from './serverCall.js';
 import type { ServerRecord } from './serverRecord.js';
+import { noStatements, type ServerStatements } from './serverStatements.js';
 import type { AttemptOutcome } from './serverStatistics.js';
 import type { Slot, SlotResult, SlotSource } from './slotSource.js';
 
@@ -39,6 +40,8 @@
   /** Fires when the owners of keys may have changed. */
   onDidChangeOwners: Event<void>;
   pause(milliseconds: number): Promise<void>;
+  /** Takes note of what a server stated in a response, before the response is passed on. */
+  recordStatements(server: ServerRecord, statements: ServerStatements): void;
 }
 
 /** Condition to wait for before a retry. */
@@ -294,6 +297,7 @@
       maxIdleConnections: this.#routing.maxIdleConnections(request.service),
       signal: request.signal,
     });
+    this.#routing.recordStatements(server, statementsOf(result));
     slot.finish(attemptOutcomeOf(result));
     if (result.kind !== 'answered') {
       this.#logger.log('info', 'attempt-failed', {
@@ -375,6 +379,10 @@
   return { kind: 'not-run', reason, retryAfterMilliseconds };
 }
 
+function statementsOf(result: ServerCallResult): ServerStatements {
+  return (result.kind === 'not-written' ? undefined : result.statements) ?? noStatements;
+}
+
 function attemptOutcomeOf(result: ServerCallResult): AttemptOutcome {
   switch (result.kind) {
     case 'answered':
--- a/packages/dispatch/src/common/serverCall.ts
+++ b/packages/dispatch/src/common/serverCall.ts
@@ -1,4 +1,5 @@
 import type { ResponseHeaders, UnknownReason } from './callerRequest.js';
+import type { ServerStatements } from './serverStatements.js';
 
 /** One attempt to send a request to one server. */
 export interface ServerCall {
@@ -33,13 +34,14 @@
       readonly status: number;
       readonly headers: ResponseHeaders;
       readonly body: Buffer;
+      readonly statements?: ServerStatements;
     }
   /** The server reported that it did not run the request. */
-  | { readonly kind: 'refused'; readonly refusal: ServerRefusal }
+  | { readonly kind: 'refused'; readonly refusal: ServerRefusal; readonly statements?: ServerStatements }
   /** No byte of the request was written to a connection, so the server cannot have run it. */
   | { readonly kind: 'not-written' }
   /** The request was written without a valid response, so the server may have run it. */
-  | { readonly kind: 'lost'; readonly reason: UnknownReason };
+  | { readonly kind: 'lost'; readonly reason: UnknownReason; readonly statements?: ServerStatements };
 
 /** Sends requests to servers. A call is written to at most one connection. */
 export interface ServerTransport {
@@ -54,6 +56,8 @@
   responseRequestId(headers: ResponseHeaders): string | undefined;
   /** Reason for which the server did not run the request, if the response reports one. */
   refusal(status: number, headers: ResponseHeaders): ServerRefusal | undefined;
+  /** What the server states about itself in a response. */
+  statements(status: number, headers: ResponseHeaders): ServerStatements;
   /**
    * Whether a response that is no refusal may be passed on: it is a complete response of the server itself, and its
    * status does not tell the caller that the request was not run.
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -111,6 +111,7 @@
   baseRetries: number,
 ): RequestDispatcher {
   const routing: RoutingView = {
+    recordStatements: () => undefined,
     server: createServerRecord,
     ownerOf: () => undefined,
     isOwnershipInTransfer: () => false,
--- a/packages/dispatch/src/node/serverConnection.ts
+++ b/packages/dispatch/src/node/serverConnection.ts
@@ -85,15 +85,16 @@
         return result;
       case 'received': {
         const { status, headers, body } = result;
+        const statements = this.#protocol.statements(status, headers);
         const refusal = this.#protocol.refusal(status, headers);
         if (refusal !== undefined) {
-          return { kind: 'refused', refusal };
+          return { kind: 'refused', refusal, statements };
         }
         if (!this.#protocol.isGenuine(status, headers)) {
           this.dispose();
-          return { kind: 'lost', reason: 'answer-damaged' };
+          return { kind: 'lost', reason: 'answer-damaged', statements };
         }
-        return { kind: 'answered', status, headers, body };
+        return { kind: 'answered', status, headers, body, statements };
       }
     }
   }
--- a/packages/dispatch/src/node/serverConnectionPool.ts
+++ b/packages/dispatch/src/node/serverConnectionPool.ts
@@ -41,6 +41,11 @@
     return this.#openedCount;
   }
 
+  /** Closes the connections to an address that carry no request. */
+  closeIdle(address: string): void {
+    closeWithoutResponseSince(this.#idle.get(address) ?? [], Number.POSITIVE_INFINITY);
+  }
+
   async call(call: ServerCall): Promise<ServerCallResult> {
     if (this.isDisposed()) {
       return { kind: 'not-written' };
--- a/packages/dispatch/src/node/test/faultyServers.test.ts
+++ b/packages/dispatch/src/node/test/faultyServers.test.ts
@@ -8,6 +8,7 @@
   type TryResult,
 } from '@hickoryhoist/standIns/node/faultyServerChecks.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import { noStatements } from '../../common/serverStatements.js';
 import type { ServerCallResult, ServerProtocol } from '../../common/serverCall.js';
 import { ServerConnectionPool } from '../serverConnectionPool.js';
 
@@ -21,6 +22,7 @@
     return typeof value === 'string' ? value : undefined;
   },
   refusal: (_status, headers) => (headers['not-run'] === undefined ? undefined : 'overloaded'),
+  statements: () => noStatements,
   isGenuine: (status, headers) =>
     status === 200 ? headers.signature !== undefined : !NOT_RUN_STATUSES.includes(status),
 };
--- a/packages/dispatch/src/node/test/serverConnectionPool.test.ts
+++ b/packages/dispatch/src/node/test/serverConnectionPool.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import { defaultResponseLimits } from '@hickoryhoist/connection/common/responseLimits.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import { noStatements } from '../../common/serverStatements.js';
 import type { ServerCall, ServerProtocol } from '../../common/serverCall.js';
 import { ServerConnectionPool } from '../serverConnectionPool.js';
 
@@ -10,6 +11,7 @@
   requestHeaders: ({ requestId }) => ({ 'request-id': requestId }),
   responseRequestId: (headers) => headers['request-id']?.toString(),
   refusal: (status) => (status === 421 ? 'misdirected' : undefined),
+  statements: () => noStatements,
   isGenuine: (status, headers) => status !== 200 || headers.signature !== undefined,
 };
 
--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -175,6 +175,7 @@
       case 'reader-heartbeat':
       case 'table-changes':
       case 'assignment-change':
+      case 'server-leaving':
         return false;
     }
   }
--- a/packages/entryVm/src/common/entryVmRoutingView.ts
+++ b/packages/entryVm/src/common/entryVmRoutingView.ts
@@ -1,9 +1,12 @@
 import { delay } from '@hickoryhoist/base/common/asynchronous.js';
 import type { Event } from '@hickoryhoist/base/common/emitter.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RoutingView } from '@hickoryhoist/dispatch/common/requestDispatcher.js';
+import type { ServerStatements } from '@hickoryhoist/dispatch/common/serverStatements.js';
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import type { EntryVmRegistry } from './entryVmRegistry.js';
+import type { PeerMessage } from './peerMessage.js';
 import type { KeyOwnershipController } from './keyOwnershipController.js';
 import type { ServerRegistry } from './serverRegistry.js';
 
@@ -21,6 +24,8 @@
   readonly #keyOwnership: KeyOwnershipController;
   readonly #entryVmRegistry: EntryVmRegistry;
   readonly #services: () => ReadonlyMap<string, RoutedService>;
+  readonly #sendToOthers: (message: PeerMessage) => void;
+  readonly #logger: Logger;
 
   readonly onDidChangeOwners: Event<void>;
   readonly pause = delay;
@@ -30,11 +35,15 @@
     keyOwnership: KeyOwnershipController,
     entryVmRegistry: EntryVmRegistry,
     services: () => ReadonlyMap<string, RoutedService>,
+    sendToOthers: (message: PeerMessage) => void,
+    logger: Logger,
   ) {
     this.#serverRegistry = serverRegistry;
     this.#keyOwnership = keyOwnership;
     this.#entryVmRegistry = entryVmRegistry;
     this.#services = services;
+    this.#sendToOthers = sendToOthers;
+    this.#logger = logger;
     this.onDidChangeOwners = keyOwnership.owners.onDidChange;
   }
 
@@ -61,6 +70,22 @@
     return this.#keyOwnership.receivesOwnerUpdates;
   }
 
+  /**
+   * The other entry VMs are told of a server that is leaving, because the store may be away. While it works, they mostly
+   * know already, and the first one to hear it is the only one to send.
+   */
+  recordStatements({ id, incarnation }: ServerRecord, { isLeaving, unreadable }: ServerStatements): void {
+    if (unreadable.length > 0) {
+      this.#logger.log('warn', 'server-statement-unreadable', {
+        server: id,
+        statements: unreadable.join('; '),
+      });
+    }
+    if (isLeaving && this.#serverRegistry.recordStatedLeaving(id, incarnation)) {
+      this.#sendToOthers({ type: 'server-leaving', serverId: id, serverIncarnation: incarnation });
+    }
+  }
+
   maxIdleConnections(service: string): number {
     const limit = this.#services().get(service)?.connectionsPerServer ?? 0;
     const entryVms = Math.max(1, this.#entryVmRegistry.entryVms().length);
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -257,6 +257,9 @@
           ]),
         );
         return;
+      case 'server-leaving':
+        this.#options.serverRegistry.recordStatedLeaving(message.serverId, message.serverIncarnation);
+        return;
       case 'reader-heartbeat':
       case 'table-changes':
       case 'ask':
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -72,6 +72,12 @@
     rows: z.array(z.object({ key: z.string(), value: z.string(), version: z.number() })),
     deletedKeys: z.array(z.string()),
   }),
+  z.object({
+    type: z.literal('server-leaving'),
+    /** A server that stated in a response to the sender that it is leaving. */
+    serverId: z.string(),
+    serverIncarnation: z.number(),
+  }),
   z.object({
     type: z.literal('assignment-change'),
     service: z.string(),
--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -39,7 +39,12 @@
   );
 }
 
-/** Keeps track of servers by their announcements. Servers absent after a store outage are kept for a while. */
+interface StatedLeaving {
+  readonly incarnation: number;
+  readonly at: number;
+}
+
+/** Keeps track of servers by their announcements and by what they state themselves. Servers absent after a store outage are kept for a while. */
 export class ServerRegistry {
   readonly #decode: (id: string, value: string) => ServerRecord;
   readonly #isAbsenceReliable: () => boolean;
@@ -49,6 +54,8 @@
   #retainsAbsentServers = false;
   /** When servers began to leave or became absent, by ID. */
   readonly #leavingSince = new Map<string, number>();
+  /** Incarnations of servers that stated in a response that they are leaving, by ID. */
+  readonly #statedLeaving = new Map<string, StatedLeaving>();
   /** Servers with an unreadable row, each logged once. */
   readonly #unreadable = new Set<string>();
   readonly #onDidChange = new Emitter<void>();
@@ -81,6 +88,28 @@
     return since === undefined ? undefined : performance.now() - since;
   }
 
+  /**
+   * Records that a server stated in a response that it is leaving. It holds for its incarnation, whatever older or
+   * repeated announcements say.
+   * @returns whether that was not known.
+   */
+  recordStatedLeaving(id: string, incarnation: number): boolean {
+    const stated = this.#statedLeaving.get(id);
+    if (stated !== undefined && stated.incarnation >= incarnation) {
+      return false;
+    }
+    this.#statedLeaving.set(id, { incarnation, at: performance.now() });
+    const server = this.#servers.get(id);
+    if (server?.incarnation !== incarnation || server.phase === 'leaving') {
+      return false;
+    }
+    this.#servers.set(id, { ...server, phase: 'leaving' });
+    this.#recordLeaving(id);
+    this.#logger.log('info', 'server-stated-leaving', { server: id, service: server.service, incarnation });
+    this.#onDidChange.fire();
+    return true;
+  }
+
   /** Whether servers are retained that were absent at the last update. */
   get retainsAbsentServers(): boolean {
     return this.#retainsAbsentServers;
@@ -123,12 +152,20 @@
         this.#leavingSince.delete(other);
       }
     }
+    for (const [other, { at }] of this.#statedLeaving) {
+      if (now - at > LEAVING_RETENTION_MILLISECONDS && !this.#servers.has(other)) {
+        this.#statedLeaving.delete(other);
+      }
+    }
   }
 
   #applyRow(id: string, value: string): boolean {
     let record: ServerRecord;
     try {
       record = this.#decode(id, value);
+      if (this.#statedLeaving.get(id)?.incarnation === record.incarnation) {
+        record = { ...record, phase: 'leaving' };
+      }
     } catch (error) {
       if (!this.#unreadable.has(id)) {
         this.#unreadable.add(id);
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -216,6 +216,7 @@
       case 'heartbeat':
       case 'report':
       case 'assignment-change':
+      case 'server-leaving':
         return false;
     }
   }
--- a/packages/entryVm/src/common/test/serverRegistry.test.ts
+++ b/packages/entryVm/src/common/test/serverRegistry.test.ts
@@ -14,13 +14,13 @@
   return new Map(ids.map((key) => [key, { table: 'servers', key, value: key, version: 1 }]));
 }
 
-function decode(id: string): ServerRecord {
+function decode(id: string, value: string): ServerRecord {
   if (id === 'damaged') {
     throw new Error('unreadable');
   }
   return {
     id,
-    incarnation: 1,
+    incarnation: value === id ? 1 : Number(value),
     service: 'catalogue',
     address: id,
     availabilityZone: 'z',
@@ -72,6 +72,31 @@
     });
   });
 
+  it('takes a server that stated that it is leaving for leaving until it has a new incarnation', async () => {
+    await withRegistry((registry, health) => {
+      health.recordSuccess();
+      const row = (incarnation: number, version: number): ReadonlyMap<string, StoredRow> =>
+        new Map([['a', { table: 'servers', key: 'a', value: incarnation.toString(), version }]]);
+      registry.update(row(1, 1));
+      assert.is(registry.recordStatedLeaving('a', 1), true);
+      assert.is(registry.servers.get('a')?.phase, 'leaving');
+      assert.ok(registry.leavingMilliseconds('a') !== undefined);
+      assert.is(registry.recordStatedLeaving('a', 1), false);
+      registry.update(row(1, 2));
+      assert.is(registry.servers.get('a')?.phase, 'leaving');
+      registry.update(new Map());
+      registry.update(row(1, 3));
+      assert.is(registry.servers.get('a')?.phase, 'leaving');
+      registry.update(row(2, 4));
+      assert.is(registry.servers.get('a')?.phase, 'ready');
+      assert.is(registry.leavingMilliseconds('a'), undefined);
+      // A response of the earlier process that arrives late says nothing about this one.
+      assert.is(registry.recordStatedLeaving('a', 1), false);
+      assert.is(registry.servers.get('a')?.phase, 'ready');
+      return Promise.resolve();
+    });
+  });
+
   it('ignores an unreadable row and keeps the other servers', async () => {
     await withRegistry((registry, health) => {
       health.recordSuccess();
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -21,6 +21,7 @@
 import { EntryVmRegistry } from '../common/entryVmRegistry.js';
 import { KeyOwnershipController } from '../common/keyOwnershipController.js';
 import { NeighbourSelector } from '../common/neighbourSelector.js';
+import type { PeerMessage } from '../common/peerMessage.js';
 import type { PlatformBinding } from '../common/platformBinding.js';
 import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
 import { CallerServer, type CompletedRequest } from './callerServer.js';
@@ -155,6 +156,9 @@
         logger,
       }),
     );
+    const sendToOthers = (message: PeerMessage): void => {
+      this.#peerSocket.sendToAll(this.#entryVmRegistry.otherAddresses(), message);
+    };
     this.#keyOwnership = this.register(
       new KeyOwnershipController({
         self,
@@ -170,9 +174,7 @@
         send: (ipAddress, message) => {
           this.#peerSocket.send(ipAddress, message);
         },
-        sendToOthers: (message) => {
-          this.#peerSocket.sendToAll(this.#entryVmRegistry.otherAddresses(), message);
-        },
+        sendToOthers,
         logger,
       }),
     );
@@ -183,8 +185,13 @@
       settings.availabilityZone,
       this.#slots,
       this.#connections,
-      new EntryVmRoutingView(this.#serverRegistry, this.#keyOwnership, this.#entryVmRegistry, () =>
-        this.#services(),
+      new EntryVmRoutingView(
+        this.#serverRegistry,
+        this.#keyOwnership,
+        this.#entryVmRegistry,
+        () => this.#services(),
+        sendToOthers,
+        logger,
       ),
       new RetryBudget(settings.retryBudget, () => this.#entryVmRegistry.entryVms().length),
       new CrashingRequestDetector(),
@@ -375,6 +382,11 @@
       );
       this.#slots.setServers(service, servers);
     }
+    for (const { phase, address } of this.#serverRegistry.servers.values()) {
+      if (phase === 'leaving') {
+        this.#connections.closeIdle(address);
+      }
+    }
   }
 
   #services(): ReadonlyMap<string, RoutedService> {
