Keep within the rate of requests that a server names in its responses

Cause: nothing read the limit, so that slots and speed alone decided. Ruled out: several coordinators for one server, which broke nothing on their own; slots that hold the rate down, since a server's processing time does not change.

All requests to a server pass one coordinator, so the sum over entry VMs is kept there without knowing how many of them were told: the statement goes to the coordinator with the end of the attempt, and `ServerRateLimit` admits requests at the stated rate, at most half a second's or two of them at once. Each entry VM remembers the limits of its own responses for the case that it has to take over. What the rate cannot serve is refused at once, with a time to return that follows from the rate; the planner of keys takes such a server for as slow as its rate says. A limit ends with a response without one, unless it was overtaken.

Why the sum stays within the bound when coordinators change: 4 s at the rate, a burst of two, and the slots of a new coordinator until its first responses, against one and a half times the rate and five.

--- a/packages/daemon/src/common/requestExplanation.ts
+++ b/packages/daemon/src/common/requestExplanation.ts
@@ -100,7 +100,10 @@
       return (
         `Refused under load, not run: ${refusal?.coordinator ?? 'the coordinator'} expected a wait of ` +
         `${refusal?.expectedWaitMilliseconds ?? '?'} ms and ${refusal?.expectedWorkMilliseconds ?? '?'} ms of work, ` +
-        `with ${refusal?.goalLeft ?? '?'} ms left of its goal and ${refusal?.left ?? '?'} ms of its time limit.`
+        `with ${refusal?.goalLeft ?? '?'} ms left of its goal and ${refusal?.left ?? '?'} ms of its time limit.` +
+        (refusal?.statedRequestsPerSecond === undefined
+          ? ''
+          : ` Server ${refusal.server ?? '?'} had asked for at most ${refusal.statedRequestsPerSecond} requests a second.`)
       );
     case 'no-owner':
       return 'Not run: no server owned its key, or its server no longer owned it. See the lines about keys.';
--- a/packages/daemon/src/common/test/requestExplanation.test.ts
+++ b/packages/daemon/src/common/test/requestExplanation.test.ts
@@ -55,6 +55,15 @@
     assert.is(around.length, 0);
   });
 
+  it('names the rate that the server had asked for', () => {
+    const log = [
+      line(10, 'slot-refused', { request: 'look-9', server: 'i-9', statedRequestsPerSecond: '1.8' }),
+      line(11, 'request-ended', { request: 'look-9', outcome: 'not-run', reason: 'overloaded' }),
+    ];
+    const { verdict } = explainRequest('look-9', readLog('vm-1.log', log.join('\n')));
+    assert.match(verdict, /Server i-9 had asked for at most 1\.8 requests a second\.$/);
+  });
+
   it('includes lines about the unresponsive server from any entry VM', () => {
     const { verdict, around } = explainRequest('loan-2', records);
     assert.match(verdict, /^Sent to server i-7, .* It may have run\.$/);
--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -5,7 +5,7 @@
 import type { RetryBudget } from './retryBudget.js';
 import type { ServerCallResult, ServerRefusal, ServerTransport } from './serverCall.js';
 import type { ServerRecord } from './serverRecord.js';
-import { noStatements, type ServerStatements } from './serverStatements.js';
+import type { ServerStatements } from './serverStatements.js';
 import type { AttemptOutcome } from './serverStatistics.js';
 import type { Slot, SlotResult, SlotSource } from './slotSource.js';
 
@@ -297,8 +297,11 @@
       maxIdleConnections: this.#routing.maxIdleConnections(request.service),
       signal: request.signal,
     });
-    this.#routing.recordStatements(server, statementsOf(result));
-    slot.finish(attemptOutcomeOf(result));
+    const statements = statementsOf(result);
+    if (statements !== undefined) {
+      this.#routing.recordStatements(server, statements);
+    }
+    slot.finish(attemptOutcomeOf(result), statements);
     if (result.kind !== 'answered') {
       this.#logger.log('info', 'attempt-failed', {
         request: request.id,
@@ -379,8 +382,9 @@
   return { kind: 'not-run', reason, retryAfterMilliseconds };
 }
 
-function statementsOf(result: ServerCallResult): ServerStatements {
-  return (result.kind === 'not-written' ? undefined : result.statements) ?? noStatements;
+/** @returns undefined if there was no response. */
+function statementsOf(result: ServerCallResult): ServerStatements | undefined {
+  return result.kind === 'not-written' ? undefined : result.statements;
 }
 
 function attemptOutcomeOf(result: ServerCallResult): AttemptOutcome {
--- a/packages/dispatch/src/common/serverStatements.ts
+++ b/packages/dispatch/src/common/serverStatements.ts
@@ -2,9 +2,18 @@
 export interface ServerStatements {
   /** The server is about to stop and wants no new requests. It keeps to this until it ends. */
   readonly isLeaving: boolean;
+  /**
+   * Requests a second that the server takes from all entry VMs together, for as long as its responses say so; undefined
+   * if it names no limit.
+   */
+  readonly requestsPerSecond: number | undefined;
   /** Statements that were not understood and count as not made, for the log. */
   readonly unreadable: readonly string[];
 }
 
 /** A response without a statement. */
-export const noStatements: ServerStatements = { isLeaving: false, unreadable: [] };
+export const noStatements: ServerStatements = {
+  isLeaving: false,
+  requestsPerSecond: undefined,
+  unreadable: [],
+};
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -1,4 +1,5 @@
 import type { ProcessingTimeEstimate } from './processingTimes.js';
+import { ServerRateLimit } from './serverRateLimit.js';
 
 /** Weight of a new sample in the smoothed processing time of a server. */
 const PROCESSING_TIME_SMOOTHING = 0.15;
@@ -52,6 +53,7 @@
   #ejectionMilliseconds = MIN_EJECTION_MILLISECONDS;
   #lastResponseAt = Number.NEGATIVE_INFINITY;
   readonly #warmupEndsAt: number;
+  readonly #rateLimit = new ServerRateLimit();
 
   /** @param warmupEndsAt time until which the server is slow after its start. */
   constructor(
@@ -80,6 +82,12 @@
 
   /** Average processing time over the last requests; undefined before the first sample. */
   longTermProcessingTime(now: number): ProcessingTimeEstimate | undefined {
+    const { requestsPerSecond } = this.#rateLimit;
+    if (requestsPerSecond !== undefined) {
+      // Keys are distributed by this time: a server that takes fewer requests counts as slower.
+      const milliseconds = Math.max(this.#longTermMilliseconds, (this.slots * 1_000) / requestsPerSecond);
+      return { milliseconds, sampleCount: LONG_TERM_SAMPLES };
+    }
     const factor = now < this.#warmupEndsAt ? WARMUP_FACTOR : 1;
     return this.#sampleCount === 0
       ? undefined
@@ -101,9 +109,25 @@
     return now < this.#ejectedUntil;
   }
 
+  /** The rate that the server has asked for, in requests a second; undefined if there is no limit. */
+  get requestsPerSecond(): number | undefined {
+    return this.#rateLimit.requestsPerSecond;
+  }
+
+  /** Number of requests that the server's rate admits now. */
+  requestsWithinRate(now: number): number {
+    return this.#rateLimit.available(now);
+  }
+
+  /** Records the rate that a response of the server named. */
+  recordRate(requestsPerSecond: number | undefined, now: number): void {
+    this.#rateLimit.record(requestsPerSecond, now);
+  }
+
   /** Starts an attempt. Beyond the server's slots it is queued at the server until another attempt ends. */
   begin(attemptId: string, now: number): void {
     const isQueued = this.#attempts.size >= this.slots;
+    this.#rateLimit.start(now);
     this.#attempts.set(attemptId, { grantedAt: now, processingStartedAt: isQueued ? undefined : now });
   }
 
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -2,6 +2,7 @@
 import { ReturnSchedule } from './returnSchedule.js';
 import { type AttemptOutcome, ServerStatistics } from './serverStatistics.js';
 import { SlotQueue } from './slotQueue.js';
+import type { ServerStatements } from './serverStatements.js';
 import type { SlotRequest } from './slotRequest.js';
 
 /** Requests sent to a server beyond its slots, so that it does not idle while the next one is in transit. */
@@ -35,6 +36,8 @@
   readonly expectedWorkMilliseconds: number;
   /** Number of queued slot requests. */
   readonly waiting: number;
+  /** The rate that the owner of the key has asked for, in requests a second. */
+  readonly statedRequestsPerSecond?: number;
 }
 
 /** Decision on a slot request; a slot request without one stays queued. */
@@ -48,6 +51,9 @@
       readonly basis: RefusalBasis;
     };
 
+/** The part of a server's statements that concerns its slots. */
+export type RateStatement = Pick<ServerStatements, 'requestsPerSecond'>;
+
 /** A server whose slots the scheduler grants. */
 export interface SchedulableServer {
   readonly id: string;
@@ -67,10 +73,10 @@
 
 /** Capacity of the servers that can run a request. */
 interface Capacity {
-  /** Attempts in flight, and slots. */
+  /** Attempts in flight, and slots that are busy or can be used within the rates that servers have asked for. */
   inFlight: number;
   slots: number;
-  /** Completed requests per millisecond while all slots are busy. */
+  /** Requests per millisecond that can start while all slots are busy. */
   completionRate: number;
   /** Sum of the expected processing times in milliseconds, and number of servers. */
   totalMilliseconds: number;
@@ -166,8 +172,16 @@
     return this.#processQueue(key, now);
   }
 
-  /** Releases the slot of an attempt that ended, or cancels a slot request that is still queued. */
-  finish(slotRequestId: string, outcome: AttemptOutcome, now: number): readonly SlotDecision[] {
+  /**
+   * Releases the slot of an attempt that ended, or cancels a slot request that is still queued.
+   * @param statements what the server stated in its response, if there was one.
+   */
+  finish(
+    slotRequestId: string,
+    outcome: AttemptOutcome,
+    now: number,
+    statements?: RateStatement,
+  ): readonly SlotDecision[] {
     const grant = this.#grants.get(slotRequestId);
     if (grant === undefined) {
       this.#dequeue(slotRequestId);
@@ -175,6 +189,9 @@
     }
     this.#grants.delete(slotRequestId);
     const milliseconds = grant.server.end(slotRequestId, outcome, now);
+    if (statements !== undefined) {
+      grant.server.recordRate(statements.requestsPerSecond, now);
+    }
     if (outcome === 'answered' && milliseconds !== undefined) {
       this.#averageMilliseconds += AVERAGE_SMOOTHING * (milliseconds - this.#averageMilliseconds);
     }
@@ -187,6 +204,11 @@
     ];
   }
 
+  /** Records the rate that a server named in a response to a request whose slot another scheduler granted. */
+  recordRate(serverId: string, { requestsPerSecond }: RateStatement, now: number): void {
+    this.#servers.get(serverId)?.statistics.recordRate(requestsPerSecond, now);
+  }
+
   /** Refuses queued requests that cannot meet their deadlines, and reclaims slots not released in time. */
   tick(now: number): readonly SlotDecision[] {
     for (const [slotRequestId, grant] of this.#grants) {
@@ -226,7 +248,7 @@
       return decisions;
     }
     for (let first = queue.first(now); first !== undefined; first = queue.first(now)) {
-      if (!hasCapacity(server)) {
+      if (!hasCapacity(server, now)) {
         break;
       }
       this.#dequeue(first.id);
@@ -237,7 +259,7 @@
 
   #processPool(queue: SlotQueue, now: number): readonly SlotDecision[] {
     const decisions: SlotDecision[] = [];
-    if (!this.#hasFreeServer()) {
+    if (!this.#hasFreeServer(now)) {
       return decisions;
     }
     for (const request of queue.inOrder(now)) {
@@ -245,7 +267,7 @@
       if (server !== undefined) {
         this.#dequeue(request.id);
         decisions.push(this.#grantOrRefuse(request, server, now));
-        if (!this.#hasFreeServer()) {
+        if (!this.#hasFreeServer(now)) {
           break;
         }
       }
@@ -253,9 +275,9 @@
     return decisions;
   }
 
-  #hasFreeServer(): boolean {
+  #hasFreeServer(now: number): boolean {
     for (const { statistics } of this.#servers.values()) {
-      if (hasCapacity(statistics)) {
+      if (hasCapacity(statistics, now)) {
         return true;
       }
     }
@@ -307,12 +329,12 @@
   #chooseServer(request: SlotRequest, now: number): ServerStatistics | undefined {
     if (request.serverId !== undefined) {
       const owner = this.#servers.get(request.serverId)?.statistics;
-      return owner !== undefined && hasCapacity(owner) ? owner : undefined;
+      return owner !== undefined && hasCapacity(owner, now) ? owner : undefined;
     }
     let best: ServerStatistics | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const server of this.#usableServers(request, now)) {
-      if (hasCapacity(server)) {
+      if (hasCapacity(server, now)) {
         const cost = placementCost(request, server, now);
         if (cost < bestCost) {
           best = server;
@@ -371,10 +393,15 @@
     const schedule = this.#returnSchedules.get(key) ?? new ReturnSchedule();
     this.#returnSchedules.set(key, schedule);
     const interval = capacity.servers === 0 ? 0 : 1 / capacity.completionRate;
+    const stated =
+      request.serverId === undefined
+        ? undefined
+        : this.#servers.get(request.serverId)?.statistics.requestsPerSecond;
     const basis: RefusalBasis = {
       expectedWaitMilliseconds: Math.round(wait),
       expectedWorkMilliseconds: Math.round(processingMilliseconds(capacity)),
       waiting: this.waiting,
+      ...(stated === undefined ? {} : { statedRequestsPerSecond: stated }),
     };
     return {
       kind: 'refused',
@@ -421,9 +448,10 @@
 
 function addServer(capacity: Capacity, server: ServerStatistics, now: number): void {
   const milliseconds = server.expectedMilliseconds(now);
+  const { requestsPerSecond = Number.POSITIVE_INFINITY } = server;
   capacity.inFlight += server.inFlight;
-  capacity.slots += server.slots;
-  capacity.completionRate += server.slots / milliseconds;
+  capacity.slots += Math.min(server.slots, server.inFlight + server.requestsWithinRate(now));
+  capacity.completionRate += Math.min(server.slots / milliseconds, requestsPerSecond / 1_000);
   capacity.totalMilliseconds += milliseconds;
   capacity.servers += 1;
 }
@@ -438,8 +466,8 @@
   return Math.max(0, ahead + inFlight - slots + 1) / completionRate;
 }
 
-function hasCapacity(server: ServerStatistics): boolean {
-  return server.inFlight < server.slots + QUEUED_PER_SERVER;
+function hasCapacity(server: ServerStatistics, now: number): boolean {
+  return server.inFlight < server.slots + QUEUED_PER_SERVER && server.requestsWithinRate(now) >= 1;
 }
 
 function placementCost(request: SlotRequest, server: ServerStatistics, now: number): number {
--- a/packages/dispatch/src/common/slotSource.ts
+++ b/packages/dispatch/src/common/slotSource.ts
@@ -1,3 +1,4 @@
+import type { ServerStatements } from './serverStatements.js';
 import type { AttemptOutcome } from './serverStatistics.js';
 import type { SlotRequest } from './slotRequest.js';
 import type { RefusalBasis, SlotRefusal } from './slotScheduler.js';
@@ -7,8 +8,11 @@
   readonly serverId: string;
   /** The entry VM that granted it. */
   readonly coordinatorId: string;
-  /** Releases the slot. Must be called exactly once. */
-  finish(outcome: AttemptOutcome): void;
+  /**
+   * Releases the slot. Must be called exactly once.
+   * @param statements what the server stated in its response, if there was one.
+   */
+  finish(outcome: AttemptOutcome, statements?: ServerStatements): void;
 }
 
 /** Result of a slot request. */
--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -1,6 +1,7 @@
 import { waitForPendingIo } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import type { ServerStatements } from '@hickoryhoist/dispatch/common/serverStatements.js';
 import type { AttemptOutcome } from '@hickoryhoist/dispatch/common/serverStatistics.js';
 import type { SchedulableServer } from '@hickoryhoist/dispatch/common/slotScheduler.js';
 import type { ProcessingTimeEstimate } from '@hickoryhoist/dispatch/common/processingTimes.js';
@@ -151,7 +152,13 @@
         this.#coordinator.receiveRequest(ipAddress, message);
         return true;
       case 'finish':
-        this.#coordinator.receiveFinish(message.id, message.use);
+        this.#coordinator.receiveFinish(
+          message.id,
+          message.use,
+          message.statements === undefined
+            ? undefined
+            : { requestsPerSecond: message.statements.requestsPerSecond },
+        );
         return true;
       case 'waiting': {
         this.#selector.recordResponse(ipAddress);
@@ -300,20 +307,33 @@
     return {
       serverId,
       coordinatorId: pending.coordinator.id,
-      finish: (outcome) => {
-        this.#finish(pending, outcome);
+      finish: (outcome, statements) => {
+        this.#finish(pending, outcome, statements);
+        if (statements !== undefined) {
+          // This process takes over when the coordinator does not respond.
+          this.#coordinator.recordRate(pending.service, serverId, statements);
+        }
       },
     };
   }
 
-  #finish({ coordinator, id, service }: PendingRequest, outcome: AttemptOutcome): void {
+  #finish(
+    { coordinator, id, service }: PendingRequest,
+    outcome: AttemptOutcome,
+    statements?: ServerStatements,
+  ): void {
     const { self, sendWithDuplicate } = this.#options;
     if (coordinator.id === self.id) {
-      this.#coordinator.finish(service, id, outcome);
+      this.#coordinator.finish(service, id, outcome, statements);
       return;
     }
     // If the coordinator misses this message, the slot stays in use until the request's deadline.
-    sendWithDuplicate(coordinator.ipAddress, { type: 'finish', id, use: outcome });
+    sendWithDuplicate(coordinator.ipAddress, {
+      type: 'finish',
+      id,
+      use: outcome,
+      ...(statements === undefined ? {} : { statements: rateStatementOf(statements) }),
+    });
   }
 
   #complete(pending: PendingRequest, result: SlotResult): void {
@@ -323,3 +343,7 @@
     pending.resolve(result);
   }
 }
+
+function rateStatementOf({ requestsPerSecond }: ServerStatements): { requestsPerSecond?: number } {
+  return requestsPerSecond === undefined ? {} : { requestsPerSecond };
+}
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -30,13 +30,20 @@
         expectedWaitMilliseconds: z.number(),
         expectedWorkMilliseconds: z.number(),
         waiting: z.number(),
+        statedRequestsPerSecond: z.number().optional(),
       })
+      .transform(({ statedRequestsPerSecond: stated, ...basis }) => ({
+        ...basis,
+        ...(stated === undefined ? {} : { statedRequestsPerSecond: stated }),
+      }))
       .optional(),
   }),
   z.object({
     type: z.literal('finish'),
     id: z.string(),
     use: z.enum(['answered', 'failed', 'refused', 'unreachable', 'silent', 'cancelled']),
+    /** What the server stated about its rate in its response; absent if there was no response. */
+    statements: z.object({ requestsPerSecond: z.number().optional() }).optional(),
   }),
   z.object({
     type: z.literal('heartbeat'),
--- a/packages/entryVm/src/common/slotCoordinator.ts
+++ b/packages/entryVm/src/common/slotCoordinator.ts
@@ -3,6 +3,7 @@
 import type { AttemptOutcome } from '@hickoryhoist/dispatch/common/serverStatistics.js';
 import type { SlotRequest } from '@hickoryhoist/dispatch/common/slotRequest.js';
 import {
+  type RateStatement,
   type SchedulableServer,
   type SlotDecision,
   SlotScheduler,
@@ -83,8 +84,14 @@
   }
 
   /** Ends an attempt and releases its slot, or withdraws a request that is still queued. */
-  finish(service: string, requestId: string, outcome: AttemptOutcome): void {
-    this.#deliver(service, this.#schedulerFor(service).finish(requestId, outcome, performance.now()));
+  finish(service: string, requestId: string, outcome: AttemptOutcome, statements?: RateStatement): void {
+    const scheduler = this.#schedulerFor(service);
+    this.#deliver(service, scheduler.finish(requestId, outcome, performance.now(), statements));
+  }
+
+  /** Records the rate that a server named in a response to a request of this entry VM. */
+  recordRate(service: string, serverId: string, statement: RateStatement): void {
+    this.#schedulerFor(service).recordRate(serverId, statement, performance.now());
   }
 
   receiveRequest(ipAddress: string, message: SlotRequestMessage): void {
@@ -121,11 +128,11 @@
     }
   }
 
-  receiveFinish(requestId: string, outcome: AttemptOutcome): void {
+  receiveFinish(requestId: string, outcome: AttemptOutcome, statements?: RateStatement): void {
     const service = this.#remoteRequests.get(requestId)?.service;
     if (service !== undefined) {
       this.#remoteRequests.delete(requestId);
-      this.finish(service, requestId, outcome);
+      this.finish(service, requestId, outcome, statements);
     }
   }
 
