Check responses that end within their head, byte by byte

Operators of similar systems report that a server stopped in the middle of its answer's head, and callers got a 200 with an empty or short body. It does not happen here: in both ways to run each of the heads with and without a length, also after an interim response, cut after any byte by a close or a reset, on new and on used connections, is reported as lost. No code is changed.

--- a/packages/dispatch/src/node/test/faultyServers.test.ts
+++ b/packages/dispatch/src/node/test/faultyServers.test.ts
@@ -3,6 +3,7 @@
   checkEndlessResponse,
   checkEndlessResponsesTogether,
   checkFaultSequences,
+  checkTruncatedHeads,
   endlessBehaviourNames,
   type TransportUnderTest,
   type TryResult,
@@ -73,6 +74,9 @@
   it('never makes a request run twice, look as if it was not run, or get a response not its own', () =>
     checkFaultSequences(dialect, createTransport, { count: 150, seed: 1 }));
 
+  it('never makes a response that ends within its head look whole', () =>
+    checkTruncatedHeads(dialect, createTransport));
+
   describe('whose response has no end', () => {
     for (const name of endlessBehaviourNames(dialect)) {
       it(`is cut off: ${name}`, () => checkEndlessResponse(dialect, createTransport, name));
--- a/packages/standIns/src/node/faultyServerChecks.ts
+++ b/packages/standIns/src/node/faultyServerChecks.ts
@@ -96,6 +96,45 @@
   );
 }
 
+/**
+ * Checks that a response that ends within its head is reported as lost, wherever it ends and however the connection is
+ * closed, on a new connection and on one that was used before.
+ */
+export async function checkTruncatedHeads(
+  dialect: ResponseDialect,
+  createTransport: () => TransportUnderTest,
+): Promise<void> {
+  const scripts = new FaultyServerScripts(dialect);
+  for (const closing of ['end', 'reset'] as const) {
+    const lengths = scripts.truncatedHeads('').length;
+    const script = ({ id }: ReceivedRequest): readonly ServerStep[] => {
+      const text = id.startsWith('cut-') ? scripts.truncatedHeads('cut')[Number(id.slice(4))] : undefined;
+      return text === undefined
+        ? (scripts.behaviours.intact?.({ id, number: 0, connection: 0, earlierIds: [] }) ?? [])
+        : [{ kind: 'run' }, { kind: 'send', text: text.replace('cut', id) }, { kind: closing }];
+    };
+    await withScriptedServer(dialect, script, async (server) => {
+      for (let index = 0; index < lengths; index += 1) {
+        const transport = createTransport();
+        try {
+          if (index % 2 === 0) {
+            await transport.send(server.address, `before-${index.toString()}`, ENDLESS_DEADLINE_MILLISECONDS);
+          }
+          const id = `cut-${index.toString()}`;
+          const result = await transport.send(server.address, id, ENDLESS_DEADLINE_MILLISECONDS);
+          assert.is(
+            result.kind,
+            'lost',
+            `${closing} after ${JSON.stringify(scripts.truncatedHeads('cut')[index])}`,
+          );
+        } finally {
+          transport.dispose();
+        }
+      }
+    });
+  }
+}
+
 /** Names of the responses without end that `checkEndlessResponse` accepts. */
 export function endlessBehaviourNames(dialect: ResponseDialect): readonly string[] {
   return Object.keys(new FaultyServerScripts(dialect).endlessBehaviours);
--- a/packages/standIns/src/node/faultyServerScripts.ts
+++ b/packages/standIns/src/node/faultyServerScripts.ts
@@ -122,6 +122,20 @@
       noise: () => [RUN, endless(ENDLESS_BLOCK)],
     };
 
+  /** A response that breaks off within its head, for each length of the part that is sent. */
+  truncatedHeads(id: string): readonly string[] {
+    const interim = 'HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n';
+    const responses = [
+      this.#success(id),
+      this.#successWithoutLength(id),
+      interim + this.#successWithoutLength(id),
+    ];
+    return responses.flatMap((response) => {
+      const headLength = response.lastIndexOf('\r\n\r\n') + 4;
+      return Array.from({ length: headLength - 1 }, (_unused, index) => response.slice(0, index + 1));
+    });
+  }
+
   #idLine(id: string): string {
     return `${this.#dialect.requestIdHeader}: ${id}\r\n`;
   }
