Read the machines of a platform one by one

In the product's own interface one odd machine in the platform's list (a port out of range, a number too large, deep nesting, an unknown state) made the whole list unreadable, so that servers that left or joined were not noticed as long as it stood there. Each machine is decoded on its own; one that cannot be read is logged as `machine-unreadable`.

--- a/packages/daemon/src/node/commands/drainCommand.ts
+++ b/packages/daemon/src/node/commands/drainCommand.ts
@@ -1,4 +1,5 @@
 import { command, flag, option, string } from 'cmd-ts';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
 import { HickoryhoistError } from '@hickoryhoist/base/common/errors.js';
 import { DrainStore } from '@hickoryhoist/ownership/common/drainStore.js';
 import { HttpPlatform } from '@hickoryhoist/store/node/httpPlatform.js';
@@ -21,7 +22,7 @@
     json: jsonFlag,
   },
   handler: async ({ platform: address, server, undo, json }) => {
-    const platform = new HttpPlatform(address);
+    const platform = new HttpPlatform(address, silentLogger);
     try {
       if (!(await new DrainStore(platform.table).set(server, !undo))) {
         throw new DrainContentionError(`the drain of ${server} was not recorded; try again`);
--- a/packages/daemon/src/node/commands/publishCommand.ts
+++ b/packages/daemon/src/node/commands/publishCommand.ts
@@ -1,5 +1,6 @@
 import { userInfo } from 'node:os';
 import { command, multioption, array, option, positional, string } from 'cmd-ts';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
 import { ConfigurationStore } from '@hickoryhoist/configuration/common/configurationStore.js';
 import { Publisher, type ServiceChange } from '@hickoryhoist/configuration/common/publisher.js';
 import { readServiceFiles } from '@hickoryhoist/configuration/node/serviceFileReader.js';
@@ -28,7 +29,7 @@
   },
   handler: async ({ directory, platform: address, operator, remove, json }) => {
     const files = await readServiceFiles(directory);
-    const platform = new HttpPlatform(address);
+    const platform = new HttpPlatform(address, silentLogger);
     try {
       const store = new ConfigurationStore(platform);
       const current = await store.readNewest();
--- a/packages/daemon/src/node/commands/serveCommand.ts
+++ b/packages/daemon/src/node/commands/serveCommand.ts
@@ -18,7 +18,7 @@
     const settings = parseDocument(path, entryVmSettingsSchema, await readFile(path, 'utf8'));
     const logger = new KeyValueLogger('entry-vm', settings.logLevel);
     logProcessErrors(logger);
-    const platform = new HttpPlatform(settings.platformAddress);
+    const platform = new HttpPlatform(settings.platformAddress, logger);
     const entryVm = await EntryVmProcess.start(settings, platform, logger);
     const stop = (): void => {
       void entryVm.stop().finally(() => {
--- a/packages/store/src/common/platformMessages.ts
+++ b/packages/store/src/common/platformMessages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { isSocketAddress } from '@hickoryhoist/base/common/networkAddress.js';
 
 // Message bodies of the platform's HTTP interface: `POST /table/read`, `/table/transact`, `/objects/put`,
 // `/objects/get` and `/machines/list`.
@@ -33,10 +34,11 @@
 
 export const virtualMachineSchema = z.object({
   id: z.string(),
-  address: z.string(),
+  address: z.string().refine(isSocketAddress, 'must be an IPv4 address and a port'),
   availabilityZone: z.string(),
   role: z.string(),
   state: z.enum(['live', 'leaving']),
 });
 
-export const virtualMachineListSchema = z.object({ machines: z.array(virtualMachineSchema) });
+/** The machines are decoded one by one, so that one that cannot be read does not hide the others. */
+export const virtualMachineListSchema = z.object({ machines: z.array(z.unknown()) });
--- a/packages/store/src/node/httpPlatform.ts
+++ b/packages/store/src/node/httpPlatform.ts
@@ -3,6 +3,7 @@
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
 import { type Disposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
+import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { requestText } from '@hickoryhoist/base/node/textRequest.js';
 import type { ObjectStore } from '../common/objectStore.js';
 import type { Platform } from '../common/platform.js';
@@ -12,6 +13,7 @@
   tableRowSchema,
   transactionResultSchema,
   virtualMachineListSchema,
+  virtualMachineSchema,
 } from '../common/platformMessages.js';
 import {
   PlatformUnavailableError,
@@ -34,8 +36,11 @@
   readonly objects: ObjectStore;
   readonly virtualMachines: VirtualMachineList;
 
+  readonly #logger: Logger;
+
   /** @param address `host:port` of the platform. */
-  constructor(address: string) {
+  constructor(address: string, logger: Logger) {
+    this.#logger = logger;
     this.#origin = `http://${address}`;
     this.#pool = new Pool(this.#origin, {
       connections: MAXIMUM_CONNECTIONS,
@@ -53,8 +58,10 @@
       get: async (name) => (await this.#call('/objects/get', { name }, objectContentSchema, false)).content,
     };
     this.virtualMachines = {
-      list: async (): Promise<readonly VirtualMachine[]> =>
-        (await this.#call('/machines/list', {}, virtualMachineListSchema, false)).machines,
+      list: async (): Promise<readonly VirtualMachine[]> => {
+        const { machines } = await this.#call('/machines/list', {}, virtualMachineListSchema, false);
+        return machines.flatMap((machine) => this.#decodeMachine(machine) ?? []);
+      },
     };
   }
 
@@ -62,6 +69,15 @@
     void this.#pool.destroy();
   }
 
+  /** @returns undefined for a machine that cannot be read; the others of the list hold. */
+  #decodeMachine(document: unknown): VirtualMachine | undefined {
+    const { data, error } = virtualMachineSchema.safeParse(document);
+    if (error !== undefined) {
+      this.#logger.log('warn', 'machine-unreadable', { reason: describeError(error) });
+    }
+    return data;
+  }
+
   async #call<S extends z.ZodType>(
     path: string,
     message: object,
