Reject what arrives late in a planned stop and may not be finished

Callers whose request came late in a planned stop, on a connection that was open before, got a 504 while a server was at work on it, also for requests that may not be repeated (LOST): in calm, with requests that usually take 10 ms and one that takes 350 ms, 80 ms before the last response.

Cause: such a request was passed on with the rest of the grace period as its time limit, if a slot's usual time fitted. Ruled out: a cut without an answer; the process waits for what is in flight and answers it. The product's own interface has no such limit: it waits for all requests that it has accepted.

Once the port is closed, which is after the load balancer has noticed the stop or at half of the grace period, a request on an open connection is rejected at once as not run, with its connection closed, unless its whole time fits before the last response.

--- a/packages/entryVm/src/node/callerServer.ts
+++ b/packages/entryVm/src/node/callerServer.ts
@@ -17,6 +17,8 @@
   readonly code = 'listen';
 }
 
+/** Another entry VM takes the caller's next request at once, in milliseconds. */
+const STOPPING_RETRY_AFTER_MILLISECONDS = 20;
 /** Hard limit for the headers of a request; the configured limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 /** Limit for receiving a whole request, including its body. */
@@ -51,6 +53,7 @@
   readonly #server: Server;
   readonly #callerWaits = new CallerWaitEstimator();
   #inFlight = 0;
+  #hasStoppedAccepting = false;
   /** Time by which every request must be answered; infinite until shutdown begins. */
   #responseDeadline = Number.POSITIVE_INFINITY;
 
@@ -106,8 +109,12 @@
     this.#responseDeadline = responseDeadline;
   }
 
-  /** Stops accepting connections and closes idle ones, so that no requests follow those in flight. */
+  /**
+   * Stops accepting connections and closes idle ones. From then on a request on an open connection is rejected unless its
+   * whole time fits before the end of the process: callers do better elsewhere than with a request that is broken off.
+   */
   stopAccepting(): void {
+    this.#hasStoppedAccepting = true;
     this.#server.close();
   }
 
@@ -160,6 +167,11 @@
       return;
     }
     const request = this.#createRequest(message, id, match, body.body, arrivedAt, callerAbort.signal);
+    if (this.#hasStoppedAccepting && request.deadlineAt >= this.#responseDeadline) {
+      this.#reject(message, response, 503, 'stopping', STOPPING_RETRY_AFTER_MILLISECONDS);
+      this.#complete(id, match, 503, undefined, undefined, arrivedAt, Number.POSITIVE_INFINITY);
+      return;
+    }
     const outcome = await dispatch(request);
     const status = this.#respond(response, request, outcome);
     this.#complete(id, match, status, outcome, request.key, arrivedAt, request.goalAt - arrivedAt);
