Keep the pause that a server asks for when it turns a request away

The time is part of what a server states. Until it is over, the entry VM that was told sends that server nothing, also not with a slot that was granted before; slots of other servers are requested instead. A request that only paused servers could run (the owner of its key, or all servers of its service) is refused at once as not run; its caller is told to return when the first pause ends, 25 ms after the one before, so that callers do not return together. A server that has started again knows nothing of a pause.

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -5,6 +5,7 @@
 import type { RetryBudget } from './retryBudget.js';
 import type { ServerCallResult, ServerRefusal, ServerTransport } from './serverCall.js';
 import type { ServerRecord } from './serverRecord.js';
+import type { ServerPauses } from './serverPauses.js';
 import type { ServerStatements } from './serverStatements.js';
 import type { AttemptOutcome } from './serverStatistics.js';
 import type { Slot, SlotResult, SlotSource } from './slotSource.js';
@@ -40,6 +41,10 @@
   /** Fires when the owners of keys may have changed. */
   onDidChangeOwners: Event<void>;
   pause(milliseconds: number): Promise<void>;
+  /** The pauses that servers have asked this process for. */
+  readonly pauses: ServerPauses;
+  /** Identifiers of the servers of a service that accept requests. */
+  serverIds(service: string): readonly string[];
   /** Takes note of what a server stated in a response, before the response is passed on. */
   recordStatements(server: ServerRecord, statements: ServerStatements): void;
 }
@@ -151,7 +156,22 @@
       return notRun('no-owner', NO_SERVER_RETRY_AFTER_MILLISECONDS);
     }
     const requestedAt = performance.now();
-    const { result, hasOwnerChanged } = await this.#requestSlot(request, owner, excludedIds);
+    const pausedIds = this.#pausedIds(request, owner, requestedAt);
+    const pauseMilliseconds = this.#pauseMilliseconds(request, owner, pausedIds, requestedAt);
+    if (pauseMilliseconds !== undefined) {
+      this.#logger.log('info', 'server-pause-kept', {
+        request: request.id,
+        service,
+        server: owner,
+        paused: pausedIds.length,
+        retryAfter: Math.round(pauseMilliseconds),
+      });
+      return notRun('server-refused', pauseMilliseconds);
+    }
+    const { result, hasOwnerChanged } = await this.#requestSlot(request, owner, [
+      ...excludedIds,
+      ...pausedIds,
+    ]);
     if (result.kind === 'granted') {
       return { kind: 'slot', slot: result.slot };
     }
@@ -173,6 +193,36 @@
     return notRun(result.refusal, result.retryAfterMilliseconds);
   }
 
+  /** Servers that could run the request and have asked this process for a pause. */
+  #pausedIds(request: CallerRequest, owner: string | undefined, now: number): readonly string[] {
+    if (this.#routing.pauses.isEmpty) {
+      return [];
+    }
+    const candidates = owner === undefined ? this.#routing.serverIds(request.service) : [owner];
+    return candidates.filter((id) => this.#routing.pauses.remainingMilliseconds(id, now) > 0);
+  }
+
+  /** @returns the time until a server may be asked, in milliseconds; undefined if there is one now. */
+  #pauseMilliseconds(
+    request: CallerRequest,
+    owner: string | undefined,
+    pausedIds: readonly string[],
+    now: number,
+  ): number | undefined {
+    const { pauses } = this.#routing;
+    const candidates = owner === undefined ? this.#routing.serverIds(request.service).length : 1;
+    const [first, ...others] = pausedIds;
+    if (first === undefined || pausedIds.length < candidates) {
+      return undefined;
+    }
+    const earliest = others.reduce(
+      (best, id) =>
+        pauses.remainingMilliseconds(id, now) < pauses.remainingMilliseconds(best, now) ? id : best,
+      first,
+    );
+    return pauses.nextReturnMilliseconds(earliest, now);
+  }
+
   /** Requests a slot and cancels the slot request if the key gets another owner in the meantime. */
   async #requestSlot(
     request: CallerRequest,
@@ -273,7 +323,10 @@
   #revalidateServer(request: CallerRequest, slot: Slot): ServerRecord | undefined {
     const server = this.#routing.server(slot.serverId);
     const isOwner = !request.isKeyed || this.#ownerOf(request) === slot.serverId;
-    return server?.service === request.service && isOwner && !request.signal.aborted ? server : undefined;
+    const isPaused = this.#routing.pauses.remainingMilliseconds(slot.serverId, performance.now()) > 0;
+    return server?.service === request.service && isOwner && !isPaused && !request.signal.aborted
+      ? server
+      : undefined;
   }
 
   async #send(request: CallerRequest, server: ServerRecord, slot: Slot): Promise<ServerCallResult> {
@@ -327,7 +380,7 @@
       case 'refused': {
         const outcome = notRun(
           result.refusal === 'misdirected' ? 'no-owner' : 'server-refused',
-          NO_SERVER_RETRY_AFTER_MILLISECONDS / 2,
+          Math.max(NO_SERVER_RETRY_AFTER_MILLISECONDS / 2, result.statements?.pauseMilliseconds ?? 0),
         );
         return {
           kind: 'retry',
--- a/packages/dispatch/src/common/serverStatements.ts
+++ b/packages/dispatch/src/common/serverStatements.ts
@@ -7,6 +7,11 @@
    * if it names no limit.
    */
   readonly requestsPerSecond: number | undefined;
+  /**
+   * Time for which the server wants nothing from this entry VM, in milliseconds; undefined unless it turned the request
+   * away and named a time.
+   */
+  readonly pauseMilliseconds: number | undefined;
   /** Statements that were not understood and count as not made, for the log. */
   readonly unreadable: readonly string[];
 }
@@ -15,5 +20,6 @@
 export const noStatements: ServerStatements = {
   isLeaving: false,
   requestsPerSecond: undefined,
+  pauseMilliseconds: undefined,
   unreadable: [],
 };
--- a/packages/dispatch/src/common/test/requestDispatcher.test.ts
+++ b/packages/dispatch/src/common/test/requestDispatcher.test.ts
@@ -8,6 +8,7 @@
 import { RequestDispatcher, type RoutingView } from '../requestDispatcher.js';
 import { RetryBudget } from '../retryBudget.js';
 import type { ServerCallResult, ServerTransport } from '../serverCall.js';
+import { ServerPauses } from '../serverPauses.js';
 import type { ServerRecord } from '../serverRecord.js';
 import type { SlotRequirements, SlotResult, SlotSource } from '../slotSource.js';
 
@@ -111,6 +112,8 @@
   baseRetries: number,
 ): RequestDispatcher {
   const routing: RoutingView = {
+    pauses: new ServerPauses(),
+    serverIds: () => [],
     recordStatements: () => undefined,
     server: createServerRecord,
     ownerOf: () => undefined,
--- a/packages/entryVm/src/common/entryVmRoutingView.ts
+++ b/packages/entryVm/src/common/entryVmRoutingView.ts
@@ -2,6 +2,7 @@
 import type { Event } from '@hickoryhoist/base/common/emitter.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RoutingView } from '@hickoryhoist/dispatch/common/requestDispatcher.js';
+import { ServerPauses } from '@hickoryhoist/dispatch/common/serverPauses.js';
 import type { ServerStatements } from '@hickoryhoist/dispatch/common/serverStatements.js';
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
@@ -27,7 +28,11 @@
   readonly #sendToOthers: (message: PeerMessage) => void;
   readonly #logger: Logger;
 
+  /** Incarnations of the servers that asked for their latest pause. */
+  readonly #pausedIncarnations = new Map<string, number>();
+
   readonly onDidChangeOwners: Event<void>;
+  readonly pauses = new ServerPauses();
   readonly pause = delay;
 
   constructor(
@@ -44,6 +49,15 @@
     this.#services = services;
     this.#sendToOthers = sendToOthers;
     this.#logger = logger;
+    // A server that has started again knows nothing of a pause.
+    serverRegistry.onDidChange(() => {
+      for (const [id, incarnation] of this.#pausedIncarnations) {
+        if (serverRegistry.servers.get(id)?.incarnation !== incarnation) {
+          this.pauses.delete(id);
+          this.#pausedIncarnations.delete(id);
+        }
+      }
+    });
     this.onDidChangeOwners = keyOwnership.owners.onDidChange;
   }
 
@@ -52,6 +66,12 @@
     return server?.phase === 'ready' ? server : undefined;
   }
 
+  serverIds(service: string): readonly string[] {
+    return [...this.#serverRegistry.servers.values()]
+      .filter((server) => server.service === service && server.phase === 'ready')
+      .map(({ id }) => id);
+  }
+
   ownerOf(service: string, key: number): string | undefined {
     return this.#keyOwnership.owners.ownerOf(service, key);
   }
@@ -74,7 +94,16 @@
    * The other entry VMs are told of a server that is leaving, because the store may be away. While it works, they mostly
    * know already, and the first one to hear it is the only one to send.
    */
-  recordStatements({ id, incarnation }: ServerRecord, { isLeaving, unreadable }: ServerStatements): void {
+  recordStatements({ id, incarnation }: ServerRecord, statements: ServerStatements): void {
+    const { isLeaving, pauseMilliseconds, unreadable } = statements;
+    if (pauseMilliseconds !== undefined && this.server(id)?.incarnation === incarnation) {
+      this.pauses.record(id, pauseMilliseconds, performance.now());
+      this.#pausedIncarnations.set(id, incarnation);
+      this.#logger.log('info', 'server-pause-started', {
+        server: id,
+        milliseconds: Math.round(pauseMilliseconds),
+      });
+    }
     if (unreadable.length > 0) {
       this.#logger.log('warn', 'server-statement-unreadable', {
         server: id,
