--- a/packages/dispatch/src/common/test/serverLimit.test.ts
+++ b/packages/dispatch/src/common/test/serverLimit.test.ts
@@ -32,6 +32,20 @@
   readonly isKeyed: boolean;
 }
 
+/** A request with 600 ms to its goal and 2,500 ms to its deadline. */
+function createRequest(id: string, now: number, isKeyed = true): SlotRequest {
+  return {
+    id,
+    serverId: isKeyed ? server.id : undefined,
+    excludedIds: [],
+    availabilityZone: 'zone-1',
+    rank: 1,
+    bodyBytes: 0,
+    goalAt: now + 600,
+    deadlineAt: now + 2_500,
+  };
+}
+
 /** Plays callers that press on a server with a limit. @returns the times at which it got requests. */
 function play(load: Load): readonly number[] {
   const starts: number[] = [];
@@ -61,16 +75,7 @@
       apply(ended.scheduler.finish(ended.id, 'answered', now, { requestsPerSecond }), now);
     }
     for (; nextArrivalAt <= now; nextArrivalAt += load.arrivalMilliseconds) {
-      const request: SlotRequest = {
-        id: `request-${nextArrivalAt.toString()}`,
-        serverId: load.isKeyed ? server.id : undefined,
-        excludedIds: [],
-        availabilityZone: 'zone-1',
-        rank: 1,
-        bodyBytes: 0,
-        goalAt: now + 600,
-        deadlineAt: now + 2_500,
-      };
+      const request = createRequest(`request-${nextArrivalAt.toString()}`, now, load.isKeyed);
       apply(scheduler.submit(request, now), now);
     }
     if (now % TICK_MILLISECONDS === 0) {
@@ -150,18 +155,8 @@
     const scheduler = new SlotScheduler();
     scheduler.setServers([server], 0);
     scheduler.recordRate(server.id, { requestsPerSecond: 1 }, 0);
-    const request = (id: string): SlotRequest => ({
-      id,
-      serverId: server.id,
-      excludedIds: [],
-      availabilityZone: 'zone-1',
-      rank: 1,
-      bodyBytes: 0,
-      goalAt: 1_600,
-      deadlineAt: 3_500,
-    });
-    assert.is(scheduler.submit(request('a'), 1_000)[0]?.kind, 'granted');
-    const [decision] = scheduler.submit(request('b'), 1_000);
+    assert.is(scheduler.submit(createRequest('a', 1_000), 1_000)[0]?.kind, 'granted');
+    const [decision] = scheduler.submit(createRequest('b', 1_000), 1_000);
     assert.ok(decision);
     assert.is(refusalOf(decision), 'overloaded');
     assert.ok(retryAfterOf(decision) >= 1_000);
@@ -172,21 +167,11 @@
     scheduler.setServers([server], 0);
     scheduler.recordRate(server.id, { requestsPerSecond: 0.5 }, 0);
     scheduler.recordRate(server.id, { requestsPerSecond: undefined }, 300);
-    const request = (id: string, now: number): SlotRequest => ({
-      id,
-      serverId: server.id,
-      excludedIds: [],
-      availabilityZone: 'zone-1',
-      rank: 1,
-      bodyBytes: 0,
-      goalAt: now + 600,
-      deadlineAt: now + 2_500,
-    });
     // A response that was overtaken by one with the limit does not end it.
-    assert.is(scheduler.submit(request('a', 400), 400)[0]?.kind, 'refused');
+    assert.is(scheduler.submit(createRequest('a', 400), 400)[0]?.kind, 'refused');
     scheduler.recordRate(server.id, { requestsPerSecond: undefined }, 1_000);
     for (const id of ['b', 'c', 'd']) {
-      assert.is(scheduler.submit(request(id, 1_000), 1_000)[0]?.kind, 'granted');
+      assert.is(scheduler.submit(createRequest(id, 1_000), 1_000)[0]?.kind, 'granted');
     }
   });
 });
--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -44,7 +44,10 @@
   readonly at: number;
 }
 
-/** Keeps track of servers by their announcements and by what they state themselves. Servers absent after a store outage are kept for a while. */
+/**
+ * Keeps track of servers by their announcements and by what they state themselves. Servers absent after a store outage
+ * are kept for a while.
+ */
 export class ServerRegistry {
   readonly #decode: (id: string, value: string) => ServerRecord;
   readonly #isAbsenceReliable: () => boolean;
