Show an entry of a former life that ends an upstream's leaving

The store does the last write of a crashed upstream late, when it is back under its id and leaving. The machines take it as ready and send it loans again, later than drain after they passed on its Server-Leaving (rule DRAIN). As it ends, those loans have run and are lost.

At fault: ServerRegistry takes an entry whose born is lower than the known one, and ends the upstream's statement with it.

--- a/review/common/upstream.mjs
+++ b/review/common/upstream.mjs
@@ -274,6 +274,7 @@
         .writeHead(200, {
           'x-hickoryhoist-attempt-id': id,
           'x-hickoryhoist-upstream-signature': `signature-${id}`,
+          ...(this.#state === 'draining' ? { 'server-leaving': '1' } : {}),
         })
         .end(`${this.id} ran ${id}`);
       this.#releaseWaiters.splice(0).forEach((resolve) => resolve());
