Count the renewals of leases that a waiting write replaces

The lease of the merged range took the expiry of the leases that it replaces as a number when the write was planned; these went on being renewed until it was done. When the owner was cut off, the merged lease knew only the old number and let the keys go up to the length of the outage too early.

The same copy was made for a range that gets a new fence. Now a lease reads the expiry of those that it replaces each time, which is infinite while one of their commands is in flight, and drops them once its owner has seen its fence. A lease whose keys a planned write gives away sends no further commands: the write may be applied at any time.

Read for the same class, no fault found: splits (made at once, not while a write waits or a command is in flight), takeovers (the end of the previous assigner's lease is read by a function), the assigner's lease and its extension (counted from the start of the call, or from the oldest report), `ownership`: revocations (expiry counted from each confirmation), route leases, and drafts (checked against the observations of the revision that they replace).

--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -15,7 +15,7 @@
   planMoves,
 } from './keyPlanner.js';
 import { keyOwnershipTiming, expiryMilliseconds } from './keyOwnershipTiming.js';
-import { type AssignerLease, type OwnerState, RangeLease } from './rangeLease.js';
+import { type AssignerLease, neverGranted, type OwnerState, RangeLease } from './rangeLease.js';
 
 /**
  * Moves that may start in one balancing round of a small service. Limits how many servers a change in load disrupts
@@ -253,11 +253,13 @@
     const servers = this.#options.servers();
     const revision = this.#writtenAssignment.revision + 1;
     const free: FreeRange[] = [];
+    const freed: RangeLease[] = [];
     const kept: RangeLease[] = [];
     let isChanged = false;
     for (const lease of this.#leases) {
       const server = servers.get(lease.range.ownerId);
       if (lease.isFree(ownerState(lease, server), now)) {
+        freed.push(lease);
         const { from, to } = lease.range;
         free.push({ from, to, handover: lease.handover, newOwnerId: this.#destinations.get(lease) });
       } else if (lease.isFenced || lease.needsNewFence(now)) {
@@ -271,6 +273,9 @@
     if (granted.length === 0 && !isChanged) {
       return undefined;
     }
+    freed.forEach((lease) => {
+      lease.retire();
+    });
     const leases = [...this.#mergeAdjacentRanges(kept, revision), ...granted].sort(
       (left, right) => left.range.from - right.range.from,
     );
@@ -278,8 +283,8 @@
   }
 
   #withNewFence(lease: RangeLease, revision: number): RangeLease {
-    const { expiresAt } = lease;
-    const successor = this.#createLease({ ...lease.range, fence: revision }, () => expiresAt, undefined);
+    const range = { ...lease.range, fence: revision };
+    const successor = this.#createLease(range, () => lease.expiresAt, undefined);
     if (lease.goal === 'revoke') {
       successor.revoke('revocation continues under a new fence');
     }
@@ -293,8 +298,8 @@
       const previous = merged.at(-1);
       if (previous !== undefined && this.#canMerge(previous, lease)) {
         const range = { ...previous.range, to: lease.range.to, fence: revision };
-        const expiresAt = Math.max(previous.expiresAt, lease.expiresAt);
-        merged[merged.length - 1] = this.#createLease(range, () => expiresAt, undefined);
+        const expiresAt = (): number => Math.max(previous.expiresAt, lease.expiresAt);
+        merged[merged.length - 1] = this.#createLease(range, expiresAt, undefined);
       } else {
         merged.push(lease);
       }
@@ -344,7 +349,7 @@
     }));
     // A handover belongs to the whole range that was released; a part of that range is granted without it.
     return [...transfers, ...remaining].map(({ from, to, owner, handover }) =>
-      this.#createLease(createRange(from, to, owner, revision), () => Number.NEGATIVE_INFINITY, handover),
+      this.#createLease(createRange(from, to, owner, revision), neverGranted, handover),
     );
   }
 
--- a/packages/keyOwnership/src/common/rangeLease.ts
+++ b/packages/keyOwnership/src/common/rangeLease.ts
@@ -31,6 +31,9 @@
  */
 const MIN_WAIT_FOR_NEW_FENCE_MILLISECONDS = 300;
 
+/** Expiry of the grants of a range that its owner has never been granted under a lower fence. */
+export const neverGranted = (): number => Number.NEGATIVE_INFINITY;
+
 /**
  * The assigner's record of the lease of one range: renews the grant at the owner, or revokes it. The range is free
  * once its owner has released it, once the owner's process has ended, or once the last grant that may have reached
@@ -48,20 +51,24 @@
   #latestArrivalAt = Number.NEGATIVE_INFINITY;
   /** Time at which a grant with an unknown outcome has expired even if the owner applied it late. */
   #unconfirmedGrantExpiresAt = Number.NEGATIVE_INFINITY;
-  /** Time at which grants under lower fences have expired. Irrelevant once the owner has seen this fence. */
-  readonly #lowerFencesExpireAt: () => number;
+  /**
+   * Time at which grants under lower fences have expired, read anew each time: the leases that this one replaces are
+   * renewed until the write that replaces them is done. Irrelevant once the owner has seen this fence.
+   */
+  #lowerFencesExpireAt: () => number;
   #isConfirmed = false;
   #isInFlight = false;
   #isReleased = false;
   #isFenced = false;
   #isRejected = false;
+  #isRetired = false;
   #nextCommandAt = 0;
   #handoverForOwner: string | undefined;
   #handoverFromOwner: string | undefined;
 
   /**
-   * @param lowerFencesExpireAt time at which grants to this owner under lower fences have expired; negative infinity
-   * when there are none.
+   * @param lowerFencesExpireAt time at which grants to this owner under lower fences have expired; `neverGranted` when
+   * there are none.
    */
   constructor(
     service: string,
@@ -97,9 +104,9 @@
     return this.#isConfirmed;
   }
 
-  /** Time at which all grants that may have reached the owner have expired. */
+  /** Time at which all grants that may have reached the owner have expired; infinite while a command is in flight. */
   get expiresAt(): number {
-    return this.#computeExpiry();
+    return this.#isInFlight ? Number.POSITIVE_INFINITY : this.#computeExpiry();
   }
 
   /** Whether the keys are free except for an unconfirmed grant that a new fence would invalidate. */
@@ -165,6 +172,11 @@
     }
   }
 
+  /** Sends no further commands: a planned write, which may be applied at any time, gives the keys away. */
+  retire(): void {
+    this.#isRetired = true;
+  }
+
   /** Whether no server can hold the keys any more, so that they may be granted to another one. */
   isFree(owner: OwnerState, now: number): boolean {
     // A rejected command at the address of an absent server comes from another process, so the owner has ended.
@@ -182,7 +194,7 @@
 
   /** Sends the next command if one is due. Resolves once its result is recorded. */
   async sendDueCommand(owner: OwnerState, now: number): Promise<void> {
-    if (this.#isInFlight || this.#isReleased || now < this.#nextCommandAt) {
+    if (this.#isInFlight || this.#isReleased || this.#isRetired || now < this.#nextCommandAt) {
       return;
     }
     if (!this.#assignerLease.isValid()) {
@@ -237,6 +249,7 @@
         this.#latestArrivalAt = now;
         this.#lastConfirmedAt = sentAt;
         this.#isConfirmed = true;
+        this.#lowerFencesExpireAt = neverGranted;
         this.#handoverForOwner = undefined;
         this.#nextCommandAt =
           this.#goal === 'renew' ? sentAt + keyOwnershipTiming.renewalIntervalMilliseconds : 0;
