Count the silence of owners from the end of the write that names them

Callers got no server for keys whose owners were considered unresponsive for 8 s, although they answered: after any write of the assignment that took over 1.3 s, all owners of its new ranges were suspected at once, and after a takeover that took so long no server could be given keys.

Cause: a lease counts the time without a confirmation from its creation, which is when the write is planned. No command is sent until the write is done.

The time now starts when the write is done. A server that is cut off meanwhile is suspected 1.3 s later, as after any other write.

Evidence: the new test failed before ("server unresponsive" for two owners) and passes now.

--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -411,6 +411,13 @@
     this.#writtenAssignment = assignment;
     this.#rowVersion = rowVersion;
     this.#isTakeover = false;
+    const now = performance.now();
+    const previousLeases = new Set(this.#leases);
+    leases
+      .filter((lease) => !previousLeases.has(lease))
+      .forEach((lease) => {
+        lease.start(now);
+      });
     this.#leases = leases;
     for (const lease of this.#destinations.keys()) {
       if (!leases.includes(lease)) {
@@ -425,7 +432,7 @@
       changed: leases.filter(({ range }) => range.fence === assignment.revision).length,
     });
     this.#options.onDidWrite(delta, rowVersion);
-    this.#sendDueCommands(performance.now());
+    this.#sendDueCommands(now);
   }
 
   #createLease(
--- a/packages/keyOwnership/src/common/rangeLease.ts
+++ b/packages/keyOwnership/src/common/rangeLease.ts
@@ -172,6 +172,11 @@
     }
   }
 
+  /** Records that the write that created the lease is done: from now on the owner can be asked to confirm it. */
+  start(now: number): void {
+    this.#lastConfirmedAt = now;
+  }
+
   /** Sends no further commands: a planned write, which may be applied at any time, gives the keys away. */
   retire(): void {
     this.#isRetired = true;
--- a/packages/keyOwnership/src/common/test/keyAssigner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyAssigner.test.ts
@@ -94,6 +94,20 @@
     });
   });
 
+  describe('when a write takes longer than an owner may go without a confirmation', () => {
+    it('does not consider the new owners unresponsive', async () => {
+      await withKeyAssignerRig(SERVER_IDS, async (rig) => {
+        await rig.advance(5_000);
+        rig.register('server-2', 'leaving');
+        rig.store.setCondition({ kind: 'down' });
+        await rig.advance(2_500);
+        rig.store.setCondition({ kind: 'working' });
+        await rig.advance(1_000);
+        assert.not.match(rig.trace.join('\n'), 'server unresponsive');
+      });
+    });
+  });
+
   describe('under random orders of renewals and of delayed and retried writes', () => {
     it('gives no key two holders', async () => {
       await fc.assert(
