Split placement and capacity off the slot scheduler, and name what servers state about load and cold starts

`ServerStatements` and `RoutedService` get the fields that servers and the operator's configuration state: load, remaining warm-up, and the rate that a cold server bears. Nothing reads them yet.

Evidence: tests of dispatch, the adapter and coordinated slots pass; types and lint are clean.

--- a/packages/dispatch/src/common/serverStatements.ts
+++ b/packages/dispatch/src/common/serverStatements.ts
@@ -1,3 +1,12 @@
+/** The load that a server states in its responses. */
+export interface StatedLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** Time that work takes on the server's machine at this moment, relative to the usual one; changes many times a second. */
+  readonly workFactor: number;
+}
+
 /** What a server states about itself in a response, whatever the response is. */
 export interface ServerStatements {
   /** The server is about to stop and wants no new requests. It keeps to this until it ends. */
@@ -12,6 +21,10 @@
    * away and named a time.
    */
   readonly pauseMilliseconds: number | undefined;
+  /** Undefined unless the server tells its load. */
+  readonly load?: StatedLoad | undefined;
+  /** For how long the server stays cold, in milliseconds; undefined unless it says so. */
+  readonly warmupMilliseconds?: number | undefined;
   /** Statements that were not understood and count as not made, for the log. */
   readonly unreadable: readonly string[];
 }
--- /dev/null
+++ b/packages/dispatch/src/common/serviceCapacity.ts
@@ -0,0 +1,42 @@
+import type { ServerStatistics } from './serverStatistics.js';
+
+/** Capacity of the servers that can run a request. */
+export interface ServiceCapacity {
+  /** Attempts in flight, and slots that are busy or can be used within the rates that servers have asked for. */
+  inFlight: number;
+  slots: number;
+  /** Requests per millisecond that can start while all slots are busy. */
+  completionRate: number;
+  /** Sum of the expected processing times in milliseconds, and number of servers. */
+  totalMilliseconds: number;
+  servers: number;
+}
+
+/** The capacity of no server at all. */
+export function emptyCapacity(): ServiceCapacity {
+  return { inFlight: 0, slots: 0, completionRate: 0, totalMilliseconds: 0, servers: 0 };
+}
+
+/** Adds the capacity of one server. */
+export function addServer(capacity: ServiceCapacity, server: ServerStatistics, now: number): void {
+  const milliseconds = server.expectedMilliseconds(now);
+  const { requestsPerSecond = Number.POSITIVE_INFINITY } = server;
+  capacity.inFlight += server.inFlight;
+  capacity.slots += Math.min(server.slots, server.inFlight + server.requestsWithinRate(now));
+  capacity.completionRate += Math.min(server.slots / milliseconds, requestsPerSecond / 1_000);
+  capacity.totalMilliseconds += milliseconds;
+  capacity.servers += 1;
+}
+
+/** Average processing time of the servers; 0 without servers. */
+export function processingMilliseconds({ totalMilliseconds, servers }: ServiceCapacity): number {
+  return servers === 0 ? 0 : totalMilliseconds / servers;
+}
+
+/** Expected wait of a request behind a number of others, in milliseconds. */
+export function waitMilliseconds(
+  { inFlight, slots, completionRate }: ServiceCapacity,
+  ahead: number,
+): number {
+  return Math.max(0, ahead + inFlight - slots + 1) / completionRate;
+}
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -1,12 +1,18 @@
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import { ReturnSchedule } from './returnSchedule.js';
+import { hasCapacity, placementCost } from './serverPlacement.js';
 import { type AttemptOutcome, ServerStatistics } from './serverStatistics.js';
+import {
+  addServer,
+  emptyCapacity,
+  processingMilliseconds,
+  type ServiceCapacity,
+  waitMilliseconds,
+} from './serviceCapacity.js';
 import { SlotQueue } from './slotQueue.js';
 import type { ServerStatements } from './serverStatements.js';
 import type { SlotRequest } from './slotRequest.js';
 
-/** Requests sent to a server beyond its slots, so that it does not idle while the next one is in transit. */
-const QUEUED_PER_SERVER = 1;
 /** Average processing time assumed before the first sample of a service, in milliseconds. */
 const INITIAL_PROCESSING_MILLISECONDS = 100;
 /** Weight of a new sample in the average processing time of the service. */
@@ -15,10 +21,6 @@
 const NO_SERVER_WAIT_MILLISECONDS = 500;
 /** Key of the queue of requests that any server of the service can run. No server has this identifier. */
 const POOL = '';
-/** Body size from which servers of the same availability zone are preferred, in bytes. */
-const LARGE_BODY_BYTES = 10_000;
-/** Factor on the expected cost of a server in another availability zone, for large bodies. */
-const CROSS_ZONE_COST_FACTOR = 3;
 /**
  * Share of the time to its deadline that a request may queue if it misses its latency goal anyway. A longer
  * wait would make new requests late as well.
@@ -71,18 +73,6 @@
 /** Time after a request's deadline at which a slot that was not released is reclaimed, in milliseconds. */
 const GRANT_EXPIRY_SLACK_MILLISECONDS = 500;
 
-/** Capacity of the servers that can run a request. */
-interface Capacity {
-  /** Attempts in flight, and slots that are busy or can be used within the rates that servers have asked for. */
-  inFlight: number;
-  slots: number;
-  /** Requests per millisecond that can start while all slots are busy. */
-  completionRate: number;
-  /** Sum of the expected processing times in milliseconds, and number of servers. */
-  totalMilliseconds: number;
-  servers: number;
-}
-
 /**
  * Grants the slots of one service's servers. Requests without a free slot are queued here instead of at a
  * server, because here they can still be reordered or refused. Methods take the current time and do no I/O.
@@ -412,8 +402,8 @@
     };
   }
 
-  #capacityFor(request: Pick<SlotRequest, 'serverId' | 'excludedIds'>, now: number): Capacity {
-    const capacity: Capacity = { inFlight: 0, slots: 0, completionRate: 0, totalMilliseconds: 0, servers: 0 };
+  #capacityFor(request: Pick<SlotRequest, 'serverId' | 'excludedIds'>, now: number): ServiceCapacity {
+    const capacity = emptyCapacity();
     if (request.serverId === undefined) {
       this.#usableServers(request, now).forEach((server) => {
         addServer(capacity, server, now);
@@ -445,34 +435,3 @@
     }
   }
 }
-
-function addServer(capacity: Capacity, server: ServerStatistics, now: number): void {
-  const milliseconds = server.expectedMilliseconds(now);
-  const { requestsPerSecond = Number.POSITIVE_INFINITY } = server;
-  capacity.inFlight += server.inFlight;
-  capacity.slots += Math.min(server.slots, server.inFlight + server.requestsWithinRate(now));
-  capacity.completionRate += Math.min(server.slots / milliseconds, requestsPerSecond / 1_000);
-  capacity.totalMilliseconds += milliseconds;
-  capacity.servers += 1;
-}
-
-/** Average processing time of the servers; 0 without servers. */
-function processingMilliseconds({ totalMilliseconds, servers }: Capacity): number {
-  return servers === 0 ? 0 : totalMilliseconds / servers;
-}
-
-/** Expected wait of a request behind a number of others, in milliseconds. */
-function waitMilliseconds({ inFlight, slots, completionRate }: Capacity, ahead: number): number {
-  return Math.max(0, ahead + inFlight - slots + 1) / completionRate;
-}
-
-function hasCapacity(server: ServerStatistics, now: number): boolean {
-  return server.inFlight < server.slots + QUEUED_PER_SERVER && server.requestsWithinRate(now) >= 1;
-}
-
-function placementCost(request: SlotRequest, server: ServerStatistics, now: number): number {
-  const rounds = Math.max(1, (server.inFlight + 1) / server.slots) + server.inFlight / server.slots;
-  const isOtherZone =
-    request.bodyBytes >= LARGE_BODY_BYTES && server.availabilityZone !== request.availabilityZone;
-  return rounds * server.expectedCost(now) * (isOtherZone ? CROSS_ZONE_COST_FACTOR : 1);
-}
--- a/packages/routing/src/common/routeConfiguration.ts
+++ b/packages/routing/src/common/routeConfiguration.ts
@@ -27,6 +27,14 @@
   readonly services: readonly WeightedService[];
 }
 
+/** What servers of a service bear while they are cold. */
+export interface ColdStartLimits {
+  /** For how long a server stays cold after its start, in milliseconds. */
+  readonly warmupMilliseconds: number;
+  /** Requests a second that a cold server bears from all entry VMs together. */
+  readonly requestsPerSecond: number;
+}
+
 /** A service that routes can refer to. */
 export interface RoutedService {
   readonly name: string;
@@ -34,6 +42,8 @@
   readonly kind: 'keyed' | 'pooled';
   /** Maximum number of connections that one server accepts from all its clients together. */
   readonly connectionsPerServer: number;
+  /** Undefined if cold servers of the service bear any rate. */
+  readonly coldStart?: ColdStartLimits | undefined;
 }
 
 /** Limits on the requests of callers. */
