Evacuate availability zones that the operator asks to evacuate

Callers saw: nothing, but servers of a zone that the operator had asked to evacuate went on getting requests: no code read these rows of the operator's table.

In the meantime the assigner moves the keys to all other servers in proportion to their headroom, the parts with the most requests first, in rounds that start all moves within a second. Moves are those of balancing, so that leases, fences and handovers are kept. A server that is cold or in a zone that was taken back receives no more keys than had the rate that cold servers bear.

--- /dev/null
+++ b/packages/entryVm/src/common/assignableServers.ts
@@ -0,0 +1,107 @@
+import {
+  estimateProcessingTimes,
+  type ProcessingTimeEstimate,
+} from '@hickoryhoist/dispatch/common/processingTimes.js';
+import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
+import type { AssignablePhase, RegisteredServer } from '@hickoryhoist/keyownership/common/keyAssigner.js';
+import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
+import { coldStartBound } from './coldStartBound.js';
+import type { ServerRegistry } from './serverRegistry.js';
+import type { ZoneEvacuations } from './zoneEvacuations.js';
+
+interface FirstSeen {
+  readonly incarnation: number;
+  readonly at: number;
+}
+
+/** The servers of keyed services as the assigner sees them: with their throughput, and what they may be given. */
+export class AssignableServers {
+  readonly #serverRegistry: ServerRegistry;
+  readonly #evacuations: ZoneEvacuations;
+  readonly #services: () => ReadonlyMap<string, RoutedService>;
+  /** When each server was first seen here, by ID. */
+  readonly #firstSeen = new Map<string, FirstSeen>();
+
+  constructor(
+    serverRegistry: ServerRegistry,
+    evacuations: ZoneEvacuations,
+    services: () => ReadonlyMap<string, RoutedService>,
+  ) {
+    this.#serverRegistry = serverRegistry;
+    this.#evacuations = evacuations;
+    this.#services = services;
+  }
+
+  /** Servers of a service by ID. */
+  ofService(
+    service: string,
+    processingTimes: ReadonlyMap<string, ProcessingTimeEstimate>,
+  ): ReadonlyMap<string, RegisteredServer> {
+    const servers = [...this.#serverRegistry.servers.values()].filter((server) => server.service === service);
+    const milliseconds = estimateProcessingTimes(
+      servers.map(({ id }) => id),
+      processingTimes,
+    );
+    this.#forgetAbsentServers();
+    return new Map(
+      servers.map((server) => {
+        const { id, incarnation, address, slots } = server;
+        const requestsPerSecond = (slots * 1_000) / Math.max(1, milliseconds.get(id) ?? 1);
+        return [
+          id,
+          {
+            id,
+            incarnation,
+            address,
+            phase: this.#phaseOf(server),
+            requestsPerSecond,
+            maxReceivedRequestsPerSecond: this.#maxReceivedRate(server, requestsPerSecond),
+          },
+        ];
+      }),
+    );
+  }
+
+  #phaseOf({ phase, availabilityZone }: ServerRecord): AssignablePhase {
+    switch (phase) {
+      case 'leaving':
+        return 'leaving';
+      case 'ready':
+        return this.#evacuations.phaseOf(availabilityZone) === undefined ? 'ready' : 'evacuated';
+    }
+  }
+
+  #maxReceivedRate(server: ServerRecord, requestsPerSecond: number): number | undefined {
+    const coldStart = this.#services().get(server.service)?.coldStart;
+    if (coldStart === undefined) {
+      return undefined;
+    }
+    const sinceCold = Math.min(
+      this.#millisecondsSinceStart(server, coldStart.warmupMilliseconds),
+      // Servers may become cold while their zone is evacuated.
+      this.#evacuations.millisecondsSinceReturn(server.availabilityZone) ?? Number.POSITIVE_INFINITY,
+    );
+    return sinceCold === Number.POSITIVE_INFINITY
+      ? undefined
+      : coldStartBound(coldStart, sinceCold, requestsPerSecond);
+  }
+
+  /** Time since a server started cold, judged by the warm-up time that it announced; infinite if it announced none. */
+  #millisecondsSinceStart({ id, incarnation, warmupMilliseconds }: ServerRecord, warmup: number): number {
+    const now = performance.now();
+    const known = this.#firstSeen.get(id);
+    const firstSeen = known?.incarnation === incarnation ? known : { incarnation, at: now };
+    this.#firstSeen.set(id, firstSeen);
+    return warmupMilliseconds > 0
+      ? now - firstSeen.at + Math.max(0, warmup - warmupMilliseconds)
+      : Number.POSITIVE_INFINITY;
+  }
+
+  #forgetAbsentServers(): void {
+    for (const id of this.#firstSeen.keys()) {
+      if (!this.#serverRegistry.servers.has(id)) {
+        this.#firstSeen.delete(id);
+      }
+    }
+  }
+}
--- a/packages/entryVm/src/common/entryVmMetrics.ts
+++ b/packages/entryVm/src/common/entryVmMetrics.ts
@@ -11,6 +11,7 @@
   readonly #counters = new Map<string, Map<string, number>>();
   readonly #histograms = new Map<string, Map<string, Histogram>>();
   readonly #gauges = new Map<string, () => number>();
+  readonly #gaugesByLabel = new Map<string, { label: string; read: () => ReadonlyMap<string, number> }>();
 
   count(name: string, labels: MetricLabels = {}, increment = 1): void {
     const series = this.#counters.get(name) ?? new Map<string, number>();
@@ -39,6 +40,11 @@
     this.#gauges.set(name, read);
   }
 
+  /** @param read called whenever the metrics are rendered; returns the values by the value of the label. */
+  gaugeByLabel(name: string, label: string, read: () => ReadonlyMap<string, number>): void {
+    this.#gaugesByLabel.set(name, { label, read });
+  }
+
   render(): string {
     const lines: string[] = [];
     for (const [name, series] of this.#counters) {
@@ -50,6 +56,12 @@
     for (const [name, read] of this.#gauges) {
       lines.push(`# TYPE ${name} gauge`, `${name} ${read().toString()}`);
     }
+    for (const [name, { label, read }] of this.#gaugesByLabel) {
+      lines.push(`# TYPE ${name} gauge`);
+      for (const [value, number] of read()) {
+        lines.push(`${name}${inBraces(formatLabels({ [label]: value }))} ${number.toString()}`);
+      }
+    }
     for (const [name, series] of this.#histograms) {
       lines.push(`# TYPE ${name} summary`);
       for (const [labels, histogram] of series) {
--- a/packages/entryVm/src/common/entryVmRoutingView.ts
+++ b/packages/entryVm/src/common/entryVmRoutingView.ts
@@ -6,6 +6,7 @@
 import type { ServerStatements } from '@hickoryhoist/dispatch/common/serverStatements.js';
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
+import type { AvailableServers } from './availableServers.js';
 import type { EntryVmRegistry } from './entryVmRegistry.js';
 import type { PeerMessage } from './peerMessage.js';
 import type { KeyOwnershipController } from './keyOwnershipController.js';
@@ -22,6 +23,7 @@
 /** Combines the registries of servers and entry VMs and the owners of keys into the dispatcher's view. */
 export class EntryVmRoutingView implements RoutingView {
   readonly #serverRegistry: ServerRegistry;
+  readonly #availableServers: AvailableServers;
   readonly #keyOwnership: KeyOwnershipController;
   readonly #entryVmRegistry: EntryVmRegistry;
   readonly #services: () => ReadonlyMap<string, RoutedService>;
@@ -37,6 +39,7 @@
 
   constructor(
     serverRegistry: ServerRegistry,
+    availableServers: AvailableServers,
     keyOwnership: KeyOwnershipController,
     entryVmRegistry: EntryVmRegistry,
     services: () => ReadonlyMap<string, RoutedService>,
@@ -44,6 +47,7 @@
     logger: Logger,
   ) {
     this.#serverRegistry = serverRegistry;
+    this.#availableServers = availableServers;
     this.#keyOwnership = keyOwnership;
     this.#entryVmRegistry = entryVmRegistry;
     this.#services = services;
@@ -62,18 +66,17 @@
   }
 
   server(id: string): ServerRecord | undefined {
-    const server = this.#serverRegistry.servers.get(id);
-    return server?.phase === 'ready' ? server : undefined;
+    return this.#availableServers.get(id);
   }
 
   serverIds(service: string): readonly string[] {
-    return [...this.#serverRegistry.servers.values()]
-      .filter((server) => server.service === service && server.phase === 'ready')
-      .map(({ id }) => id);
+    return this.#availableServers.ofService(service).map(({ id }) => id);
   }
 
+  /** An owner that gets no requests counts as none, so that requests are refused without a wait for a slot. */
   ownerOf(service: string, key: number): string | undefined {
-    return this.#keyOwnership.owners.ownerOf(service, key);
+    const owner = this.#keyOwnership.owners.ownerOf(service, key);
+    return owner !== undefined && this.#availableServers.isInClosedZone(owner) ? undefined : owner;
   }
 
   isOwnershipInTransfer(service: string, key: number): boolean {
--- a/packages/entryVm/src/common/keyOwners.ts
+++ b/packages/entryVm/src/common/keyOwners.ts
@@ -58,6 +58,15 @@
     return fence !== undefined && first !== undefined && fence >= first.revision;
   }
 
+  /** Servers that own keys of any service. */
+  ownerIds(): ReadonlySet<string> {
+    return new Set(
+      [...this.#assignments.values()].flatMap(({ assignment }) =>
+        assignment.ranges.map(({ ownerId }) => ownerId),
+      ),
+    );
+  }
+
   assignmentOf(service: string): StoredAssignment | undefined {
     return this.#assignments.get(service);
   }
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -1,10 +1,7 @@
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
-import {
-  estimateProcessingTimes,
-  type ProcessingTimeEstimate,
-} from '@hickoryhoist/dispatch/common/processingTimes.js';
+import type { ProcessingTimeEstimate } from '@hickoryhoist/dispatch/common/processingTimes.js';
 import {
   AssignerElection,
   CONFIRMATION_TABLE,
@@ -20,12 +17,13 @@
   encodeDelta,
   type KeyAssignmentDelta,
 } from '@hickoryhoist/keyownership/common/keyAssignmentDelta.js';
-import { KeyAssigner, type RegisteredServer } from '@hickoryhoist/keyownership/common/keyAssigner.js';
+import { KeyAssigner } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
 import type { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
+import type { AssignableServers } from './assignableServers.js';
 import { KeyOwners } from './keyOwners.js';
 import { KeyTrafficWindow } from '@hickoryhoist/keyownership/common/keyTrafficWindow.js';
 import { broadcastCapacity, type EntryVmRegistry, type EntryVmRecord } from './entryVmRegistry.js';
@@ -73,6 +71,7 @@
   readonly tables: ReadonlyMap<string, TableWatcher>;
   readonly health: StoreHealth;
   readonly serverRegistry: ServerRegistry;
+  readonly assignableServers: AssignableServers;
   readonly entryVmRegistry: EntryVmRegistry;
   readonly services: () => ReadonlyMap<string, RoutedService>;
   readonly processingTimes: () => ReadonlyMap<string, ProcessingTimeEstimate>;
@@ -353,7 +352,7 @@
   }
 
   #runAssigners(heldTerm: HeldTerm): void {
-    const { store, grantClient, logger, serverRegistry } = this.#options;
+    const { store, grantClient, logger, serverRegistry, assignableServers } = this.#options;
     for (const service of this.#keyedServices()) {
       let assigner = this.#assigners.get(service);
       if (assigner === undefined) {
@@ -368,7 +367,7 @@
             },
             assignerRowVersion: heldTerm.rowVersion,
             previousLeaseEndsAt: () => this.#election.previousLeaseEndsAt,
-            servers: () => this.#registeredServers(service),
+            servers: () => assignableServers.ofService(service, this.#processingTimes),
             isAbsenceReliable: () => serverRegistry.isAbsenceReliable,
             traffic: () => this.#trafficOf(service).traffic(performance.now()),
             onDidWrite: (delta, rowVersion) => {
@@ -397,25 +396,6 @@
     }
   }
 
-  #registeredServers(service: string): ReadonlyMap<string, RegisteredServer> {
-    const servers = [...this.#options.serverRegistry.servers.values()].filter(
-      (server) => server.service === service,
-    );
-    const milliseconds = estimateProcessingTimes(
-      servers.map(({ id }) => id),
-      this.#processingTimes,
-    );
-    return new Map(
-      servers.map(({ id, incarnation, address, phase, slots }) => {
-        const processingMilliseconds = Math.max(1, milliseconds.get(id) ?? 1);
-        return [
-          id,
-          { id, incarnation, address, phase, requestsPerSecond: (slots * 1_000) / processingMilliseconds },
-        ];
-      }),
-    );
-  }
-
   #sendHeartbeats(term: number, now: number): void {
     const { self, entryVmRegistry, health, sendToOthers } = this.#options;
     sendToOthers({
--- a/packages/entryVm/src/common/platformBinding.ts
+++ b/packages/entryVm/src/common/platformBinding.ts
@@ -20,4 +20,10 @@
   decodeServer(id: string, value: string): ServerRecord;
   /** @throws InvalidDocumentError */
   decodeConfiguration(value: string): RouteConfiguration;
+  /**
+   * Decodes a row of the configuration's table that asks for the evacuation of an availability zone.
+   * @returns the zone, or undefined for a row of another kind.
+   * @throws InvalidDocumentError
+   */
+  decodeZoneEvacuation(key: string, value: string): string | undefined;
 }
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -6,6 +6,7 @@
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import { KeyedServers } from '@hickoryhoist/standIns/common/emulator/keyedServers.js';
 import { MemoryRowStore } from '@hickoryhoist/standIns/common/emulator/memoryRowStore.js';
+import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import {
@@ -15,14 +16,19 @@
   type TableWatcherOptions,
 } from '@hickoryhoist/store/common/tableWatcher.js';
 import { EntryVmRegistry } from '../../entryVmRegistry.js';
+import { AssignableServers } from '../../assignableServers.js';
 import { KeyOwnershipController } from '../../keyOwnershipController.js';
 import { changesForNeighbour } from '../../neighbourChanges.js';
 import { NeighbourSelector } from '../../neighbourSelector.js';
 import type { PeerMessage } from '../../peerMessage.js';
 import { isNewAnnouncement, ServerRegistry } from '../../serverRegistry.js';
+import { ZoneEvacuations } from '../../zoneEvacuations.js';
 
 export const SERVICE = 'catalogue';
 const SERVERS_TABLE = 'servers';
+/** Each row asks for the evacuation of the zone that its key names. */
+const EVACUATIONS_TABLE = 'evacuations';
+const COLD_START = { warmupMilliseconds: 3_000, requestsPerSecond: 6 };
 const TICK_MILLISECONDS = 50;
 const CHECK_MILLISECONDS = 10;
 const NEIGHBOUR_TIMEOUT_MILLISECONDS = 500;
@@ -50,22 +56,25 @@
   /** Selects the messages that are dropped. */
   isDropped: (message: PeerMessage) => boolean = () => false;
   #incarnations = 0;
+  readonly #watchesEvacuations: boolean;
 
-  constructor() {
+  /** @param watchesEvacuations whether the entry VMs follow the table of evacuations as well. */
+  constructor(watchesEvacuations = false) {
+    this.#watchesEvacuations = watchesEvacuations;
     this.clock = FakeTimers.install({
       now: 1_700_000_000_000,
       toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
     });
   }
 
-  announce(id: string, phase: ServerRecord['phase'] = 'ready'): void {
+  announce(id: string, phase: ServerRecord['phase'] = 'ready', availabilityZone = 'zone-1'): void {
     const server = this.servers.servers.get(id) ?? this.servers.add(id);
     const record: ServerRecord = {
       id,
       incarnation: server.incarnation,
       service: SERVICE,
       address: id,
-      availabilityZone: 'zone-1',
+      availabilityZone,
       slots: 2,
       phase,
       warmupMilliseconds: 0,
@@ -73,6 +82,14 @@
     this.store.put(SERVERS_TABLE, id, JSON.stringify(record));
   }
 
+  evacuate(zone: string): void {
+    this.store.put(EVACUATIONS_TABLE, zone, '{}');
+  }
+
+  endEvacuation(zone: string): void {
+    this.store.delete(EVACUATIONS_TABLE, zone);
+  }
+
   removeAnnouncement(id: string): void {
     this.store.delete(SERVERS_TABLE, id);
   }
@@ -133,6 +150,22 @@
       () => controller.storeReachableMilliseconds(),
       logger,
     );
+    const evacuations = new ZoneEvacuations(
+      (key) => key,
+      () => true,
+      logger,
+    );
+    if (this.#watchesEvacuations) {
+      const evacuationRows = watch(EVACUATIONS_TABLE);
+      tables.set(EVACUATIONS_TABLE, evacuationRows);
+      disposables.add(
+        evacuationRows.onDidChange(() => {
+          evacuations.update(evacuationRows.rows);
+        }),
+      );
+    }
+    const services = (): ReadonlyMap<string, RoutedService> =>
+      new Map([[SERVICE, { name: SERVICE, kind: 'keyed', connectionsPerServer: 50, coldStart: COLD_START }]]);
     const entryVmRegistry: EntryVmRegistry = new EntryVmRegistry(self, store, controlRows, logger);
     const controller: KeyOwnershipController = disposables.add(
       new KeyOwnershipController({
@@ -143,8 +176,9 @@
         tables,
         health,
         serverRegistry,
+        assignableServers: new AssignableServers(serverRegistry, evacuations, services),
         entryVmRegistry,
-        services: () => new Map([[SERVICE, { name: SERVICE, kind: 'keyed', connectionsPerServer: 50 }]]),
+        services,
         processingTimes: () => new Map(),
         send: (to, message) => {
           this.#send(vm, self.incarnation, to, message);
@@ -165,6 +199,7 @@
     const timer = setInterval(() => {
       if (vm.isRunning) {
         serverRegistry.update(serverRows.rows);
+        evacuations.tick(performance.now());
         entryVmRegistry.tick();
         controller.tick();
       }
@@ -280,8 +315,11 @@
 }
 
 /** Runs a scenario with three entry VMs and four servers that own all keys. */
-export async function withKeyOwnershipRig(scenario: (rig: KeyOwnershipRig) => Promise<void>): Promise<void> {
-  const rig = new KeyOwnershipRig();
+export async function withKeyOwnershipRig(
+  scenario: (rig: KeyOwnershipRig) => Promise<void>,
+  { watchesEvacuations = false } = {},
+): Promise<void> {
+  const rig = new KeyOwnershipRig(watchesEvacuations);
   try {
     for (const id of ['server-1', 'server-2', 'server-3', 'server-4']) {
       rig.announce(id);
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -14,16 +14,20 @@
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import { TableWatcher, type TableWatcherOptions } from '@hickoryhoist/store/common/tableWatcher.js';
+import { AssignableServers } from '../common/assignableServers.js';
+import { AvailableServers } from '../common/availableServers.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
 import { EntryVmMetrics } from '../common/entryVmMetrics.js';
 import { EntryVmRoutingView } from '../common/entryVmRoutingView.js';
 import type { EntryVmSettings } from '../common/entryVmSettings.js';
 import { EntryVmRegistry } from '../common/entryVmRegistry.js';
+import { countServersWithKeys } from '../common/evacuationProgress.js';
 import { KeyOwnershipController } from '../common/keyOwnershipController.js';
 import { NeighbourSelector } from '../common/neighbourSelector.js';
 import type { PeerMessage } from '../common/peerMessage.js';
 import type { PlatformBinding } from '../common/platformBinding.js';
 import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
+import { ZoneEvacuations } from '../common/zoneEvacuations.js';
 import { CallerServer, type CompletedRequest } from './callerServer.js';
 import { PeerSocket } from './peerSocket.js';
 import { TableExchange } from './tableExchange.js';
@@ -66,6 +70,8 @@
   readonly #tables: ReadonlyMap<string, TableWatcher>;
   readonly #tableExchange: TableExchange;
   readonly #serverRegistry: ServerRegistry;
+  readonly #evacuations: ZoneEvacuations;
+  readonly #availableServers: AvailableServers;
   readonly #entryVmRegistry: EntryVmRegistry;
   readonly #slots: CoordinatedSlots;
   readonly #peerSocket: PeerSocket;
@@ -140,6 +146,17 @@
       () => this.#keyOwnership.storeReachableMilliseconds(),
       logger,
     );
+    this.#evacuations = new ZoneEvacuations(
+      (key, value) => binding.decodeZoneEvacuation(key, value),
+      (zone) =>
+        [...this.#serverRegistry.servers.values(), ...this.#entryVmRegistry.entryVms()].some(
+          ({ availabilityZone }) => availabilityZone === zone,
+        ),
+      logger,
+    );
+    this.#availableServers = new AvailableServers(this.#serverRegistry, this.#evacuations, () =>
+      this.#services(),
+    );
     this.#peerSocket = this.register(new PeerSocket(self, settings.peerPort, logger));
     this.#entryVmRegistry = new EntryVmRegistry(self, store, this.#controlRows, logger);
     this.#slots = this.register(
@@ -168,6 +185,9 @@
         tables: this.#tables,
         health: this.#health,
         serverRegistry: this.#serverRegistry,
+        assignableServers: new AssignableServers(this.#serverRegistry, this.#evacuations, () =>
+          this.#services(),
+        ),
         entryVmRegistry: this.#entryVmRegistry,
         services: () => this.#services(),
         processingTimes: () => this.#slots.processingTimes(),
@@ -187,6 +207,7 @@
       this.#connections,
       new EntryVmRoutingView(
         this.#serverRegistry,
+        this.#availableServers,
         this.#keyOwnership,
         this.#entryVmRegistry,
         () => this.#services(),
@@ -296,6 +317,7 @@
     this.register(
       this.#configurationRows.onDidChange(() => {
         this.#applyConfiguration();
+        this.#evacuations.update(this.#configurationRows.rows);
       }),
     );
     this.register(
@@ -308,6 +330,11 @@
         this.#updateSlotServers();
       }),
     );
+    this.register(
+      this.#evacuations.onDidChange(() => {
+        this.#updateSlotServers();
+      }),
+    );
     this.register(
       this.#peerSocket.onDidReceive(({ from, incarnation, message }) => {
         this.#entryVmRegistry.recordMessage(from, incarnation);
@@ -333,6 +360,9 @@
       'hickoryhoist_configuration_revision',
       () => this.#routes?.configuration.revision ?? 0,
     );
+    this.metrics.gaugeByLabel('hickoryhoist_evacuating_servers_with_keys', 'zone', () =>
+      countServersWithKeys(this.#evacuations, this.#serverRegistry, this.#keyOwnership.owners),
+    );
     this.metrics.gauge('hickoryhoist_is_assigner', () => Number(this.#keyOwnership.isAssigner));
   }
 
@@ -344,6 +374,7 @@
     if (this.#serverRegistry.retainsAbsentServers && this.#serverRegistry.isAbsenceReliable) {
       this.#serverRegistry.update(this.#serverRows.rows);
     }
+    this.#evacuations.tick(now);
     this.#entryVmRegistry.tick();
     this.#keyOwnership.tick();
   }
@@ -377,10 +408,7 @@
   /** Passes the servers of each service that accept requests to the slot schedulers. */
   #updateSlotServers(): void {
     for (const service of this.#services().keys()) {
-      const servers = [...this.#serverRegistry.servers.values()].filter(
-        (server) => server.service === service && server.phase === 'ready',
-      );
-      this.#slots.setServers(service, servers);
+      this.#slots.setServers(service, this.#availableServers.ofService(service));
     }
     for (const { phase, address } of this.#serverRegistry.servers.values()) {
       if (phase === 'leaving') {
--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -4,6 +4,7 @@
 import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
 import { encodeAssignment } from './assignmentRow.js';
 import { readAssignmentRow, type StoredAssignment, writeAssignment } from './assignmentStore.js';
+import { EvacuationRounds } from './evacuationRounds.js';
 import type { KeyAssignment, OwnedRange } from './keyAssignment.js';
 import { diffAssignments, type KeyAssignmentDelta } from './keyAssignmentDelta.js';
 import type { KeyGrantClient } from './keyGrantClient.js';
@@ -44,9 +45,17 @@
 const INITIAL_SUSPICION_MILLISECONDS = 8_000;
 const MAX_SUSPICION_MILLISECONDS = 32_000;
 
+/** Whether a server may own keys. */
+export type AssignablePhase =
+  | 'ready'
+  /** Keeps its keys until they are moved, and receives none. */
+  | 'evacuated'
+  /** Gives up its keys at once. */
+  | 'leaving';
+
 /** A server of the service as announced in the registry. */
 export interface RegisteredServer extends CandidateServer {
-  readonly phase: 'ready' | 'leaving';
+  readonly phase: AssignablePhase;
 }
 
 export interface KeyAssignerOptions {
@@ -103,6 +112,7 @@
   #mayHaveApplied = false;
   readonly #suspicions = new Map<string, { until: number; duration: number }>();
   #nextBalanceAt = 0;
+  readonly #evacuationRounds = new EvacuationRounds();
   #lastTickAt = performance.now();
   /** Time since which this process has been running without a pause. */
   #runningSince = Number.NEGATIVE_INFINITY;
@@ -130,6 +140,7 @@
     this.#lastTickAt = now;
     if (!this.#isTakeover) {
       this.#sendDueCommands(now);
+      this.#evacuate(now);
       this.#balance(now);
     }
     if (!this.#isWriting && this.#options.assignerLease.isValid()) {
@@ -181,6 +192,31 @@
     this.#suspicions.set(key, { until: now + duration, duration });
   }
 
+  /** Starts moves of keys out of evacuated availability zones. */
+  #evacuate(now: number): void {
+    const evacuated = [...this.#options.servers().values()].filter(({ phase }) => phase === 'evacuated');
+    // A pending write replaces the leases once it is done.
+    if (evacuated.length === 0 || this.#pendingWrite !== undefined) {
+      return;
+    }
+    const evacuatedIds = new Set(evacuated.map(({ id }) => id));
+    const moves = this.#evacuationRounds.nextMoves(
+      now,
+      this.#rangesAfterMoves(),
+      evacuatedIds,
+      this.#readyServers(),
+      this.#options.traffic,
+    );
+    for (const move of moves) {
+      this.#startMove(move);
+    }
+    if (moves.length > 0) {
+      const { logger, service } = this.#options;
+      const left = this.#rangesAfterMoves().filter(({ ownerId }) => evacuatedIds.has(ownerId)).length;
+      logger.log('info', 'evacuation-round', { service, moves: moves.length, rangesLeft: left });
+    }
+  }
+
   #balance(now: number): void {
     if (now < this.#nextBalanceAt || this.#pendingWrite !== undefined) {
       return;
--- a/packages/keyOwnership/src/common/keyPlanner.ts
+++ b/packages/keyOwnership/src/common/keyPlanner.ts
@@ -1,4 +1,5 @@
 import { findUnownedRanges, LAST_KEY, type OwnedRange } from './keyAssignment.js';
+import { keysIn, lowerBound } from './sortedKeys.js';
 
 /** A server that can receive keys. */
 export interface CandidateServer {
@@ -7,6 +8,8 @@
   readonly address: string;
   /** Requests that the server completes per second with all of its slots busy. */
   readonly requestsPerSecond: number;
+  /** Requests per second up to which the server may be given keys while it is cold; undefined otherwise. */
+  readonly maxReceivedRequestsPerSecond?: number | undefined;
 }
 
 /** Keys of recent requests. */
@@ -70,14 +73,14 @@
     owned.set(ownerId, (owned.get(ownerId) ?? 0) + to - from + 1);
   }
   const gaps = findUnownedRanges(ranges);
-  const total = servers.reduce((sum, { requestsPerSecond }) => sum + requestsPerSecond, 0);
+  const total = servers.reduce((sum, server) => sum + receivableRate(server), 0);
   const keys = gaps.reduce((sum, { from, to }) => sum + to - from + 1, 0);
   const ownedByCandidates = servers.reduce((sum, { id }) => sum + (owned.get(id) ?? 0), 0);
   const deficits = servers.map((owner) => ({
     owner,
     deficit: Math.max(
       0,
-      ((keys + ownedByCandidates) * owner.requestsPerSecond) / total - (owned.get(owner.id) ?? 0),
+      ((keys + ownedByCandidates) * receivableRate(owner)) / total - (owned.get(owner.id) ?? 0),
     ),
   }));
   if (ranges.length === 0) {
@@ -92,6 +95,10 @@
   );
 }
 
+function receivableRate({ requestsPerSecond, maxReceivedRequestsPerSecond }: CandidateServer): number {
+  return Math.min(requestsPerSecond, maxReceivedRequestsPerSecond ?? Number.POSITIVE_INFINITY);
+}
+
 /** Divides gaps among servers in proportion to their deficits. */
 function divideGaps(
   gaps: readonly { from: number; to: number }[],
@@ -179,6 +186,8 @@
   readonly server: CandidateServer;
   /** Requests that the server can complete in the time over which the traffic was collected. */
   readonly capacity: number;
+  /** Requests in that time up to which the server may be given keys. */
+  readonly maxReceived: number;
   requests: number;
   pieces: Piece[];
   hasKeys: boolean;
@@ -197,6 +206,7 @@
         {
           server,
           capacity: server.requestsPerSecond * traffic.seconds,
+          maxReceived: (server.maxReceivedRequestsPerSecond ?? Number.POSITIVE_INFINITY) * traffic.seconds,
           requests: 0,
           pieces: [],
           hasKeys: false,
@@ -254,6 +264,15 @@
       return undefined;
     }
     const pieces = this.#loads.flatMap(({ pieces: own }) => own);
+    if (Number.isFinite(empty.maxReceived)) {
+      const part = findFirstKeys(pieces, empty.maxReceived);
+      if (part === undefined) {
+        // No part is small enough for a cold server; others without keys may still receive some.
+        empty.hasKeys = true;
+        return this.#moveToServerWithoutKeys();
+      }
+      return this.#move(part.piece, part.from, part.to, empty);
+    }
     const widest = pieces.sort((left, right) => widthOf(right) - widthOf(left))[0];
     if (widest === undefined || widthOf(widest) < 2) {
       return undefined;
@@ -292,8 +311,8 @@
   }
 
   /** Requests that a server can still receive before it reaches the target utilisation. */
-  #headroomOf({ capacity, requests }: CandidateLoad): number {
-    return this.#targetUtilisation * capacity - requests;
+  #headroomOf({ capacity, maxReceived, requests }: CandidateLoad): number {
+    return Math.min(this.#targetUtilisation * capacity, maxReceived) - requests;
   }
 
   #move(piece: Piece, from: number, to: number, receiver: CandidateLoad): PlannedMove {
@@ -317,6 +336,18 @@
   return { range, from, to, keys: keysIn(keys, from, to) };
 }
 
+/** Finds the part with the most requests that a cold server bears, and that leaves half of its range to the owner. */
+function findFirstKeys(pieces: readonly Piece[], maxRequests: number): MovablePart | undefined {
+  let best: MovablePart | undefined;
+  for (const piece of pieces.filter(({ keys }) => keys.length >= 2 * MIN_MOVED_REQUESTS)) {
+    const part = findBestPart([piece], Math.min(maxRequests, piece.keys.length * FIRST_KEYS_SHARE));
+    if (part !== undefined && part.requests > (best?.requests ?? 0)) {
+      best = part;
+    }
+  }
+  return best;
+}
+
 function widthOf({ from, to }: Piece): number {
   return to - from + 1;
 }
@@ -367,23 +398,3 @@
   const requests = piece.keys.length - lowerBound(piece.keys, start + 1);
   return start < piece.to ? { piece, from: start + 1, to: piece.to, requests } : undefined;
 }
-
-/** Returns the keys of a sorted list from `from` to `to`, both included. */
-function keysIn(sortedKeys: readonly number[], from: number, to: number): readonly number[] {
-  return sortedKeys.slice(lowerBound(sortedKeys, from), lowerBound(sortedKeys, to + 1));
-}
-
-/** Returns the index of the first entry that is not below `key`. */
-function lowerBound(sortedKeys: readonly number[], key: number): number {
-  let low = 0;
-  let high = sortedKeys.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if ((sortedKeys[middle] ?? 0) < key) {
-      low = middle + 1;
-    } else {
-      high = middle;
-    }
-  }
-  return low;
-}
