Choose servers by the load that they state

Requests that any server can run went to servers whose machines were busy with other work at that moment, since only the processing times of the last dozen requests counted. Some servers state the requests at them and the time that work takes at this moment in each response.

The coordinator now scales the cost of a server by the stated work factor relative to the usual one, and counts stated requests that it does not know of.

--- a/packages/dispatch/src/common/serverPlacement.ts
+++ b/packages/dispatch/src/common/serverPlacement.ts
@@ -19,7 +19,8 @@
   server: ServerStatistics,
   now: number,
 ): number {
-  const rounds = Math.max(1, (server.inFlight + 1) / server.slots) + server.inFlight / server.slots;
+  const requests = server.expectedRequests(now);
+  const rounds = Math.max(1, (requests + 1) / server.slots) + requests / server.slots;
   const isOtherZone =
     request.bodyBytes >= LARGE_BODY_BYTES && server.availabilityZone !== request.availabilityZone;
   return rounds * server.expectedCost(now) * (isOtherZone ? CROSS_ZONE_COST_FACTOR : 1);
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -3,6 +3,7 @@
 import type { SchedulableServer } from './schedulableServers.js';
 import { ServerRateLimit } from './serverRateLimit.js';
 import type { RateStatement } from './serverStatements.js';
+import { StatedLoadEstimate } from './statedLoadEstimate.js';
 
 /** Weight of a new sample in the smoothed processing time of a server. */
 const PROCESSING_TIME_SMOOTHING = 0.15;
@@ -58,6 +59,7 @@
   readonly #rateLimit = new ServerRateLimit();
 
   readonly #coldStart: ColdStartLimit;
+  readonly #statedLoad = new StatedLoadEstimate();
 
   /** @param initialMilliseconds processing time assumed before the first sample. */
   constructor(server: SchedulableServer, initialMilliseconds: number, now: number) {
@@ -93,9 +95,15 @@
     return this.#sampleCount === 0 ? undefined : { milliseconds, sampleCount: this.#sampleCount };
   }
 
-  /** Expected processing time, increased by the failure rate. */
+  /** Expected processing time at this moment, increased by the failure rate. */
   expectedCost(now: number): number {
-    return this.expectedMilliseconds(now) * (1 + FAILURE_WEIGHT * this.#failureRate);
+    const failureFactor = 1 + FAILURE_WEIGHT * this.#failureRate;
+    return this.expectedMilliseconds(now) * this.#statedLoad.relativeWorkFactor(now) * failureFactor;
+  }
+
+  /** Expected number of requests at the server, including those that it stated and that are not known here. */
+  expectedRequests(now: number): number {
+    return this.inFlight + this.#statedLoad.otherRequests(now);
   }
 
   /** Time until an ejected server gets requests again, in milliseconds. */
@@ -126,11 +134,14 @@
   }
 
   /** Records what a response of the server stated. */
-  recordStatement({ requestsPerSecond, warmupMilliseconds }: RateStatement, now: number): void {
+  recordStatement({ requestsPerSecond, load, warmupMilliseconds }: RateStatement, now: number): void {
     this.#rateLimit.record(requestsPerSecond, now);
     if (warmupMilliseconds !== undefined) {
       this.#coldStart.recordWarmup(warmupMilliseconds, now);
     }
+    if (load !== undefined) {
+      this.#statedLoad.record(load, this.inFlight, now);
+    }
   }
 
   /** Starts an attempt. Beyond the server's slots it is queued at the server until another attempt ends. */
