Find the pace of a server that starts or recovers from how it answers

A server that restarted, or whose ejection had ended, got one request more than its slots at once; if it was still down, all of these were lost or waited out their deadlines before it was ejected again.

A server that a coordinator merely learns of, or that nobody asks for, is not held back.

Each change is logged as `server-pace-changed` with what decided it, and counted.

--- a/packages/dispatch/src/common/schedulableServers.ts
+++ b/packages/dispatch/src/common/schedulableServers.ts
@@ -1,5 +1,6 @@
 import type { ColdStartBudget } from './coldStartLimit.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
+import type { PaceChange } from './serverPace.js';
 import { ServerStatistics } from './serverStatistics.js';
 import type { SlotRequest } from './slotRequest.js';
 
@@ -15,12 +16,22 @@
   readonly coldStart?: ColdStartBudget | undefined;
 }
 
+/** A change of the number of requests that a server may have in flight. */
+export interface ServerPaceChange extends PaceChange {
+  readonly serverId: string;
+}
+
 /** The servers of one service and their statistics, which last for an incarnation. */
 export class SchedulableServers {
   readonly #servers = new Map<
     string,
     { readonly statistics: ServerStatistics; readonly incarnation: number }
   >();
+  readonly #onDidChangePace: (change: ServerPaceChange) => void;
+
+  constructor(onDidChangePace: (change: ServerPaceChange) => void) {
+    this.#onDidChangePace = onDidChangePace;
+  }
 
   get(id: string | undefined): ServerStatistics | undefined {
     return id === undefined ? undefined : this.#servers.get(id)?.statistics;
@@ -46,6 +57,7 @@
     initialMilliseconds: number,
     now: number,
   ): readonly string[] {
+    const isRunning = this.#servers.size > 0;
     const ids = new Set(servers.map(({ id }) => id));
     const removed = [...this.#servers.keys()].filter((known) => !ids.has(known));
     removed.forEach((id) => this.#servers.delete(id));
@@ -54,8 +66,14 @@
       if (known?.incarnation === server.incarnation) {
         known.statistics.extendWarmup(server.warmupMilliseconds, now);
       } else {
-        const statistics = new ServerStatistics(server, initialMilliseconds, now);
-        this.#servers.set(server.id, { statistics, incarnation: server.incarnation });
+        const { id, incarnation, warmupMilliseconds } = server;
+        const statistics = new ServerStatistics(server, initialMilliseconds, now, (change) => {
+          this.#onDidChangePace({ ...change, serverId: id });
+        });
+        this.#servers.set(id, { statistics, incarnation });
+        if (known !== undefined || (isRunning && warmupMilliseconds > 0)) {
+          statistics.startSlowly(now);
+        }
       }
     }
     return removed;
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -1,6 +1,7 @@
 import { ColdStartLimit } from './coldStartLimit.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import type { SchedulableServer } from './schedulableServers.js';
+import { type PaceChange, ServerPace } from './serverPace.js';
 import { ServerRateLimit } from './serverRateLimit.js';
 import type { RateStatement } from './serverStatements.js';
 import { StatedLoadEstimate } from './statedLoadEstimate.js';
@@ -59,15 +60,25 @@
   readonly #rateLimit = new ServerRateLimit();
 
   readonly #coldStart: ColdStartLimit;
+  readonly #pace: ServerPace;
   readonly #statedLoad = new StatedLoadEstimate();
 
-  /** @param initialMilliseconds processing time assumed before the first sample. */
-  constructor(server: SchedulableServer, initialMilliseconds: number, now: number) {
+  /**
+   * @param initialMilliseconds processing time assumed before the first sample.
+   * @param onDidChangePace called when the number of requests changes that the server may have in flight.
+   */
+  constructor(
+    server: SchedulableServer,
+    initialMilliseconds: number,
+    now: number,
+    onDidChangePace: (change: PaceChange) => void,
+  ) {
     this.id = server.id;
     this.availabilityZone = server.availabilityZone;
     this.slots = server.slots;
     this.#smoothedMilliseconds = initialMilliseconds;
     this.#coldStart = new ColdStartLimit(server.coldStart);
+    this.#pace = new ServerPace(server.slots, onDidChangePace);
     this.extendWarmup(server.warmupMilliseconds, now);
   }
 
@@ -106,6 +117,16 @@
     return this.inFlight + this.#statedLoad.otherRequests(now);
   }
 
+  /** Limits the server to one request at a time until it has answered, because it has just started. */
+  startSlowly(now: number): void {
+    this.#pace.restart('started', now);
+  }
+
+  /** Slots that can be used soon, if the server answers well. */
+  get slotsWithinPace(): number {
+    return Math.min(this.slots, 2 * (this.#pace.limit ?? this.slots));
+  }
+
   /** Time until an ejected server gets requests again, in milliseconds. */
   remainingEjectionMilliseconds(now: number): number {
     return Math.max(0, this.#ejectedUntil - now);
@@ -123,9 +144,13 @@
     return cold === undefined || stated === undefined ? (cold ?? stated) : Math.min(cold, stated);
   }
 
-  /** Number of requests that the server's rate admits now. */
-  requestsWithinRate(now: number): number {
-    return Math.min(this.#rateLimit.available(now), this.#coldStart.available(now));
+  /** Number of requests that the server's rates and its pace admit now. */
+  requestsAdmitted(now: number): number {
+    return Math.min(
+      this.#rateLimit.available(now),
+      this.#coldStart.available(now),
+      this.#pace.available(now),
+    );
   }
 
   /** Records a time for which the server stays cold, in milliseconds, unless a longer one is known. */
@@ -149,11 +174,16 @@
     const isQueued = this.#attempts.size >= this.slots;
     this.#rateLimit.start(now);
     this.#coldStart.start(now);
+    this.#pace.begin(attemptId, now);
     this.#attempts.set(attemptId, { grantedAt: now, processingStartedAt: isQueued ? undefined : now });
   }
 
-  /** Ends an attempt. @returns its processing time in milliseconds, if the server started processing it. */
-  end(attemptId: string, outcome: AttemptOutcome, now: number): number | undefined {
+  /**
+   * Ends an attempt.
+   * @param peerMilliseconds average processing time of the service.
+   * @returns its processing time in milliseconds, if the server started processing it.
+   */
+  end(attemptId: string, outcome: AttemptOutcome, now: number, peerMilliseconds: number): number | undefined {
     const attempt = this.#attempts.get(attemptId);
     if (attempt === undefined) {
       return undefined;
@@ -161,6 +191,7 @@
     this.#attempts.delete(attemptId);
     const { grantedAt, processingStartedAt } = attempt;
     const milliseconds = processingStartedAt === undefined ? undefined : now - processingStartedAt;
+    this.#recordPace(attemptId, outcome, milliseconds, peerMilliseconds);
     this.#record(outcome, grantedAt, milliseconds, now);
     const nextQueued = [...this.#attempts.values()]
       .slice(0, this.slots)
@@ -204,6 +235,27 @@
     }
   }
 
+  #recordPace(
+    attemptId: string,
+    outcome: AttemptOutcome,
+    milliseconds: number | undefined,
+    peerMilliseconds: number,
+  ): void {
+    switch (outcome) {
+      case 'answered':
+        this.#pace.recordAnswer(attemptId, milliseconds, peerMilliseconds);
+        return;
+      case 'failed':
+      case 'refused':
+      case 'silent':
+      case 'unreachable':
+        this.#pace.recordFailure(attemptId);
+        return;
+      case 'cancelled':
+        this.#pace.cancel(attemptId);
+    }
+  }
+
   #addSample(milliseconds: number): void {
     this.#smoothedMilliseconds += PROCESSING_TIME_SMOOTHING * (milliseconds - this.#smoothedMilliseconds);
     this.#sampleCount = Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
@@ -217,6 +269,7 @@
   #eject(now: number): void {
     if (now >= this.#ejectedUntil) {
       this.#ejectedUntil = now + this.#ejectionMilliseconds;
+      this.#pace.restart('ejected', now);
       this.#ejectionMilliseconds = Math.min(2 * this.#ejectionMilliseconds, MAX_EJECTION_MILLISECONDS);
     }
   }
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -1,7 +1,7 @@
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import { ReturnSchedule } from './returnSchedule.js';
 import { hasCapacity, placementCost } from './serverPlacement.js';
-import { type SchedulableServer, SchedulableServers } from './schedulableServers.js';
+import { type SchedulableServer, SchedulableServers, type ServerPaceChange } from './schedulableServers.js';
 import type { AttemptOutcome, ServerStatistics } from './serverStatistics.js';
 import {
   addServer,
@@ -54,7 +54,7 @@
       readonly basis: RefusalBasis;
     };
 
-export type { RateStatement, SchedulableServer };
+export type { RateStatement, SchedulableServer, ServerPaceChange };
 
 interface Grant {
   readonly server: ServerStatistics;
@@ -73,7 +73,7 @@
  * event does not depend on the number of requests that stay queued.
  */
 export class SlotScheduler {
-  readonly #servers = new SchedulableServers();
+  readonly #servers: SchedulableServers;
   readonly #grants = new Map<string, Grant>();
   /** Queues by server, and the one of requests that any server can run. */
   readonly #queues = new Map<string, SlotQueue>();
@@ -83,6 +83,11 @@
   readonly #returnSchedules = new Map<string, ReturnSchedule>();
   #averageMilliseconds = INITIAL_PROCESSING_MILLISECONDS;
 
+  /** @param onDidChangePace called when the number of requests changes that a server may have in flight. */
+  constructor(onDidChangePace: (change: ServerPaceChange) => void = () => undefined) {
+    this.#servers = new SchedulableServers(onDidChangePace);
+  }
+
   /** Number of queued slot requests. */
   get waiting(): number {
     return this.#queueKeys.size;
@@ -145,7 +150,7 @@
       return [];
     }
     this.#grants.delete(slotRequestId);
-    const milliseconds = grant.server.end(slotRequestId, outcome, now);
+    const milliseconds = grant.server.end(slotRequestId, outcome, now, this.#averageMilliseconds);
     if (statements !== undefined) {
       grant.server.recordStatement(statements, now);
     }
@@ -171,7 +176,7 @@
     for (const [slotRequestId, grant] of this.#grants) {
       if (now > grant.expiresAt) {
         this.#grants.delete(slotRequestId);
-        grant.server.end(slotRequestId, 'cancelled', now);
+        grant.server.end(slotRequestId, 'cancelled', now, this.#averageMilliseconds);
       }
     }
     return this.#reviewQueues(now);
--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -80,6 +80,11 @@
     );
   }
 
+  /** Fires when the number of requests changes that a server may have in flight. */
+  get onDidChangePace(): SlotCoordinator['onDidChangePace'] {
+    return this.#coordinator.onDidChangePace;
+  }
+
   /** Number of slot requests queued here, including those of other entry VMs. */
   get waiting(): number {
     return this.#coordinator.waiting;
--- a/packages/entryVm/src/common/slotCoordinator.ts
+++ b/packages/entryVm/src/common/slotCoordinator.ts
@@ -5,6 +5,7 @@
 import {
   type RateStatement,
   type SchedulableServer,
+  type ServerPaceChange,
   type SlotDecision,
   SlotScheduler,
 } from '@hickoryhoist/dispatch/common/slotScheduler.js';
@@ -37,6 +38,10 @@
   readonly #onDidDecide = new Emitter<LocalDecision>();
   #isLeaving = false;
 
+  readonly #onDidChangePace = new Emitter<ServerPaceChange>();
+
+  /** Fires when the number of requests changes that a server may have in flight. */
+  readonly onDidChangePace = this.#onDidChangePace.event;
   /** Fires for slot requests of this entry VM. */
   readonly onDidDecide = this.#onDidDecide.event;
 
@@ -183,7 +188,9 @@
     if (known !== undefined) {
       return known;
     }
-    const scheduler = new SlotScheduler();
+    const scheduler = new SlotScheduler((change) => {
+      this.#onDidChangePace.fire(change);
+    });
     this.#schedulers.set(service, scheduler);
     return scheduler;
   }
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -318,6 +318,12 @@
         }
       }),
     );
+    this.register(
+      this.#slots.onDidChangePace(({ serverId: server, reason, ...change }) => {
+        this.metrics.count('hickoryhoist_server_pace_changes_total', { reason });
+        this.#logger.log('info', 'server-pace-changed', { server, reason, ...change });
+      }),
+    );
     const timer = setInterval(() => {
       this.#tick();
     }, TICK_MILLISECONDS);
