--- a/packages/dispatch/src/common/serverPlacement.ts
+++ b/packages/dispatch/src/common/serverPlacement.ts
@@ -10,7 +10,7 @@
 
 /** Whether a server can be sent another request now. */
 export function hasCapacity(server: ServerStatistics, now: number): boolean {
-  return server.inFlight < server.slots + QUEUED_PER_SERVER && server.requestsWithinRate(now) >= 1;
+  return server.inFlight < server.slots + QUEUED_PER_SERVER && server.requestsAdmitted(now) >= 1;
 }
 
 /** Expected cost of a request at a server, for comparison with other servers. */
@@ -19,7 +19,8 @@
   server: ServerStatistics,
   now: number,
 ): number {
-  const rounds = Math.max(1, (server.inFlight + 1) / server.slots) + server.inFlight / server.slots;
+  const requests = server.expectedRequests(now);
+  const rounds = Math.max(1, (requests + 1) / server.slots) + requests / server.slots;
   const isOtherZone =
     request.bodyBytes >= LARGE_BODY_BYTES && server.availabilityZone !== request.availabilityZone;
   return rounds * server.expectedCost(now) * (isOtherZone ? CROSS_ZONE_COST_FACTOR : 1);
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -1,5 +1,10 @@
+import { ColdStartLimit } from './coldStartLimit.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
+import type { SchedulableServer } from './schedulableServers.js';
+import { type PaceChange, ServerPace } from './serverPace.js';
 import { ServerRateLimit } from './serverRateLimit.js';
+import type { RateStatement } from './serverStatements.js';
+import { StatedLoadEstimate } from './statedLoadEstimate.js';
 
 /** Weight of a new sample in the smoothed processing time of a server. */
 const PROCESSING_TIME_SMOOTHING = 0.15;
@@ -52,22 +57,29 @@
   #ejectedUntil = 0;
   #ejectionMilliseconds = MIN_EJECTION_MILLISECONDS;
   #lastResponseAt = Number.NEGATIVE_INFINITY;
-  readonly #warmupEndsAt: number;
   readonly #rateLimit = new ServerRateLimit();
 
-  /** @param warmupEndsAt time until which the server is slow after its start. */
+  readonly #coldStart: ColdStartLimit;
+  readonly #pace: ServerPace;
+  readonly #statedLoad = new StatedLoadEstimate();
+
+  /**
+   * @param initialMilliseconds processing time assumed before the first sample.
+   * @param onDidChangePace called when the number of requests changes that the server may have in flight.
+   */
   constructor(
-    id: string,
-    availabilityZone: string,
-    slots: number,
+    server: SchedulableServer,
     initialMilliseconds: number,
-    warmupEndsAt: number,
+    now: number,
+    onDidChangePace: (change: PaceChange) => void,
   ) {
-    this.id = id;
-    this.availabilityZone = availabilityZone;
-    this.slots = slots;
+    this.id = server.id;
+    this.availabilityZone = server.availabilityZone;
+    this.slots = server.slots;
     this.#smoothedMilliseconds = initialMilliseconds;
-    this.#warmupEndsAt = warmupEndsAt;
+    this.#coldStart = new ColdStartLimit(server.coldStart);
+    this.#pace = new ServerPace(server.slots, onDidChangePace);
+    this.extendWarmup(server.warmupMilliseconds, now);
   }
 
   /** Number of attempts that have not ended. */
@@ -77,26 +89,42 @@
 
   /** Expected processing time of a request, without its time in the server's queue, in milliseconds. */
   expectedMilliseconds(now: number): number {
-    return this.#smoothedMilliseconds * (now < this.#warmupEndsAt ? WARMUP_FACTOR : 1);
+    return this.#smoothedMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
   }
 
   /** Average processing time over the last requests; undefined before the first sample. */
   longTermProcessingTime(now: number): ProcessingTimeEstimate | undefined {
-    const { requestsPerSecond } = this.#rateLimit;
+    const requestsPerSecond = this.requestsPerSecond(now);
+    const milliseconds = this.#longTermMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
     if (requestsPerSecond !== undefined) {
       // Keys are distributed by this time: a server that takes fewer requests counts as slower.
-      const milliseconds = Math.max(this.#longTermMilliseconds, (this.slots * 1_000) / requestsPerSecond);
-      return { milliseconds, sampleCount: LONG_TERM_SAMPLES };
+      return {
+        milliseconds: Math.max(milliseconds, (this.slots * 1_000) / requestsPerSecond),
+        sampleCount: LONG_TERM_SAMPLES,
+      };
     }
-    const factor = now < this.#warmupEndsAt ? WARMUP_FACTOR : 1;
-    return this.#sampleCount === 0
-      ? undefined
-      : { milliseconds: this.#longTermMilliseconds * factor, sampleCount: this.#sampleCount };
+    return this.#sampleCount === 0 ? undefined : { milliseconds, sampleCount: this.#sampleCount };
   }
 
-  /** Expected processing time, increased by the failure rate. */
+  /** Expected processing time at this moment, increased by the failure rate. */
   expectedCost(now: number): number {
-    return this.expectedMilliseconds(now) * (1 + FAILURE_WEIGHT * this.#failureRate);
+    const failureFactor = 1 + FAILURE_WEIGHT * this.#failureRate;
+    return this.expectedMilliseconds(now) * this.#statedLoad.relativeWorkFactor(now) * failureFactor;
+  }
+
+  /** Expected number of requests at the server, including those that it stated and that are not known here. */
+  expectedRequests(now: number): number {
+    return this.inFlight + this.#statedLoad.otherRequests(now);
+  }
+
+  /** Limits the server to one request at a time until it has answered, because it has just started. */
+  startSlowly(now: number): void {
+    this.#pace.restart('started', now);
+  }
+
+  /** Slots that can be used soon, if the server answers well. */
+  get slotsWithinPace(): number {
+    return Math.min(this.slots, 2 * (this.#pace.limit ?? this.slots));
   }
 
   /** Time until an ejected server gets requests again, in milliseconds. */
@@ -109,30 +137,53 @@
     return now < this.#ejectedUntil;
   }
 
-  /** The rate that the server has asked for, in requests a second; undefined if there is no limit. */
-  get requestsPerSecond(): number | undefined {
-    return this.#rateLimit.requestsPerSecond;
+  /** The rate that the server has asked for or bears while it is cold, in requests a second; undefined if there is none. */
+  requestsPerSecond(now: number): number | undefined {
+    const cold = this.#coldStart.requestsPerSecond(now);
+    const stated = this.#rateLimit.requestsPerSecond;
+    return cold === undefined || stated === undefined ? (cold ?? stated) : Math.min(cold, stated);
+  }
+
+  /** Number of requests that the server's rates and its pace admit now. */
+  requestsAdmitted(now: number): number {
+    return Math.min(
+      this.#rateLimit.available(now),
+      this.#coldStart.available(now),
+      this.#pace.available(now),
+    );
   }
 
-  /** Number of requests that the server's rate admits now. */
-  requestsWithinRate(now: number): number {
-    return this.#rateLimit.available(now);
+  /** Records a time for which the server stays cold, in milliseconds, unless a longer one is known. */
+  extendWarmup(milliseconds: number, now: number): void {
+    this.#coldStart.extendWarmup(milliseconds, now);
   }
 
-  /** Records the rate that a response of the server named. */
-  recordRate(requestsPerSecond: number | undefined, now: number): void {
+  /** Records what a response of the server stated. */
+  recordStatement({ requestsPerSecond, load, warmupMilliseconds }: RateStatement, now: number): void {
     this.#rateLimit.record(requestsPerSecond, now);
+    if (warmupMilliseconds !== undefined) {
+      this.#coldStart.recordWarmup(warmupMilliseconds, now);
+    }
+    if (load !== undefined) {
+      this.#statedLoad.record(load, this.inFlight, now);
+    }
   }
 
   /** Starts an attempt. Beyond the server's slots it is queued at the server until another attempt ends. */
   begin(attemptId: string, now: number): void {
     const isQueued = this.#attempts.size >= this.slots;
     this.#rateLimit.start(now);
+    this.#coldStart.start(now);
+    this.#pace.begin(attemptId, now);
     this.#attempts.set(attemptId, { grantedAt: now, processingStartedAt: isQueued ? undefined : now });
   }
 
-  /** Ends an attempt. @returns its processing time in milliseconds, if the server started processing it. */
-  end(attemptId: string, outcome: AttemptOutcome, now: number): number | undefined {
+  /**
+   * Ends an attempt.
+   * @param peerMilliseconds average processing time of the service.
+   * @returns its processing time in milliseconds, if the server started processing it.
+   */
+  end(attemptId: string, outcome: AttemptOutcome, now: number, peerMilliseconds: number): number | undefined {
     const attempt = this.#attempts.get(attemptId);
     if (attempt === undefined) {
       return undefined;
@@ -140,6 +191,7 @@
     this.#attempts.delete(attemptId);
     const { grantedAt, processingStartedAt } = attempt;
     const milliseconds = processingStartedAt === undefined ? undefined : now - processingStartedAt;
+    this.#recordPace(attemptId, outcome, milliseconds, peerMilliseconds);
     this.#record(outcome, grantedAt, milliseconds, now);
     const nextQueued = [...this.#attempts.values()]
       .slice(0, this.slots)
@@ -157,7 +209,7 @@
         this.#lastResponseAt = now;
         this.#failureRate *= 1 - FAILURE_SMOOTHING;
         if (milliseconds !== undefined) {
-          this.#addSample(milliseconds / (now < this.#warmupEndsAt ? WARMUP_FACTOR : 1));
+          this.#addSample(milliseconds / (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1));
         }
         return;
       case 'failed':
@@ -183,6 +235,27 @@
     }
   }
 
+  #recordPace(
+    attemptId: string,
+    outcome: AttemptOutcome,
+    milliseconds: number | undefined,
+    peerMilliseconds: number,
+  ): void {
+    switch (outcome) {
+      case 'answered':
+        this.#pace.recordAnswer(attemptId, milliseconds, peerMilliseconds);
+        return;
+      case 'failed':
+      case 'refused':
+      case 'silent':
+      case 'unreachable':
+        this.#pace.recordFailure(attemptId);
+        return;
+      case 'cancelled':
+        this.#pace.cancel(attemptId);
+    }
+  }
+
   #addSample(milliseconds: number): void {
     this.#smoothedMilliseconds += PROCESSING_TIME_SMOOTHING * (milliseconds - this.#smoothedMilliseconds);
     this.#sampleCount = Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
@@ -196,6 +269,7 @@
   #eject(now: number): void {
     if (now >= this.#ejectedUntil) {
       this.#ejectedUntil = now + this.#ejectionMilliseconds;
+      this.#pace.restart('ejected', now);
       this.#ejectionMilliseconds = Math.min(2 * this.#ejectionMilliseconds, MAX_EJECTION_MILLISECONDS);
     }
   }
