Count bytes by kind and by the zone of the other side

Each process now counts requests, responses, commands about keys, copies of tables and each type of message, in the metric hickoryhoist_bytes_total and in a log line every 10 s.

--- a/packages/entryVm/src/common/entryVmMetrics.ts
+++ b/packages/entryVm/src/common/entryVmMetrics.ts
@@ -34,6 +34,13 @@
     histogram.recordValue(Math.min(MAX_MILLISECONDS, Math.max(1, Math.round(milliseconds))));
   }
 
+  /** Sets a counter that is kept elsewhere. */
+  setCounter(name: string, labels: MetricLabels, value: number): void {
+    const series = this.#counters.get(name) ?? new Map<string, number>();
+    this.#counters.set(name, series);
+    series.set(formatLabels(labels), value);
+  }
+
   /** @param read called whenever the metrics are rendered. */
   gauge(name: string, read: () => number): void {
     this.#gauges.set(name, read);
--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -84,6 +84,7 @@
   #addressById: ReadonlyMap<string, string> = new Map();
   #records: readonly EntryVmRecord[];
   #otherAddresses: readonly string[] = [];
+  #zoneByAddress: ReadonlyMap<string, string> = new Map();
 
   constructor(self: EntryVmRecord, store: RowStore, rows: EntryVmRows, logger: Logger) {
     this.#self = self;
@@ -129,9 +130,17 @@
       left.id.localeCompare(right.id),
     );
     this.#otherAddresses = others.map(({ ipAddress }) => ipAddress);
+    this.#zoneByAddress = new Map(
+      this.#records.map(({ ipAddress, availabilityZone }) => [ipAddress, availabilityZone]),
+    );
     this.#addressById = new Map(this.#records.map(({ id, ipAddress }) => [id, ipAddress]));
   }
 
+  /** Availability zone of the entry VM at an address, if it is known. */
+  availabilityZoneAt(ipAddress: string): string | undefined {
+    return this.#zoneByAddress.get(ipAddress);
+  }
+
   ipAddressOf(id: string): string | undefined {
     const known = this.#addressById.get(id);
     if (known !== undefined) {
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -14,7 +14,9 @@
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import { TableWatcher, type TableWatcherOptions } from '@hickoryhoist/store/common/tableWatcher.js';
+import { ByteAccount } from '../common/byteAccount.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
+import { CountedServerTransport, countGrants } from '../common/countedServerTransport.js';
 import { EntryVmMetrics } from '../common/entryVmMetrics.js';
 import { EntryVmRoutingView } from '../common/entryVmRoutingView.js';
 import type { EntryVmSettings } from '../common/entryVmSettings.js';
@@ -45,6 +47,8 @@
 /** Margin between the end of the shutdown and the time at which the process is killed. */
 const STOP_RESERVE_MILLISECONDS = 300;
 const STOP_POLL_MILLISECONDS = 50;
+/** Interval at which the bytes to and from other availability zones are logged. */
+const BYTES_LOG_INTERVAL_MILLISECONDS = 10_000;
 /** Interval at which a late process checks whether its last responses are written. */
 const LATE_POLL_MILLISECONDS = 5;
 /** Time before the end of the shutdown by which the last response must be written: two polls. */
@@ -72,6 +76,7 @@
   readonly #keyOwnership: KeyOwnershipController;
   readonly #callerServer: CallerServer;
   readonly #connections: ServerConnectionPool;
+  readonly #bytes: ByteAccount;
   readonly #readinessServer: TextServer;
   readonly #metricsServer: TextServer;
   #routes: RouteTable | undefined;
@@ -85,6 +90,9 @@
     this.#logger = logger;
     const { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond } = settings;
     const incarnation = randomUUID().slice(0, 8);
+    this.#bytes = new ByteAccount(availabilityZone);
+    const zoneOfServer = (serverId: string): string | undefined =>
+      this.#serverRegistry.servers.get(serverId)?.availabilityZone;
     const self = { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond, incarnation };
     this.#health = new StoreHealth(logger);
     const store = observeRowStore(binding.store, this.#health, (kind, outcome) => {
@@ -98,6 +106,9 @@
           table === CONTROL_TABLE ? this.#keyOwnership.owners.assignmentRows() : [],
         selector,
         port: settings.peerPort,
+        countRead: ({ availabilityZone: zone }, bytes) => {
+          this.#bytes.add('table-copy', zone, bytes);
+        },
         logger,
       }),
     );
@@ -140,7 +151,11 @@
       () => this.#keyOwnership.storeReachableMilliseconds(),
       logger,
     );
-    this.#peerSocket = this.register(new PeerSocket(self, settings.peerPort, logger));
+    this.#peerSocket = this.register(
+      new PeerSocket(self, settings.peerPort, logger, (otherAddress, kind, bytes) => {
+        this.#bytes.add(kind, this.#entryVmRegistry.availabilityZoneAt(otherAddress), bytes);
+      }),
+    );
     this.#entryVmRegistry = new EntryVmRegistry(self, store, this.#controlRows, logger);
     this.#slots = this.register(
       new CoordinatedSlots({
@@ -163,7 +178,7 @@
       new KeyOwnershipController({
         self,
         store,
-        grantClient: binding.grantClient,
+        grantClient: countGrants(binding.grantClient, this.#bytes, zoneOfServer),
         controlRows: this.#controlRows,
         tables: this.#tables,
         health: this.#health,
@@ -184,7 +199,7 @@
     const dispatcher = new RequestDispatcher(
       settings.availabilityZone,
       this.#slots,
-      this.#connections,
+      new CountedServerTransport(this.#connections, this.#bytes, zoneOfServer),
       new EntryVmRoutingView(
         this.#serverRegistry,
         this.#keyOwnership,
@@ -217,7 +232,7 @@
     );
     this.#metricsServer = this.register(
       new TextServer((path) =>
-        path === '/metrics' ? { status: 200, text: this.metrics.render() } : undefined,
+        path === '/metrics' ? { status: 200, text: this.#renderMetrics() } : undefined,
       ),
     );
     this.#connectComponents();
@@ -320,9 +335,13 @@
     const timer = setInterval(() => {
       this.#tick();
     }, TICK_MILLISECONDS);
+    const bytesTimer = setInterval(() => {
+      this.#logger.log('info', 'bytes-between-zones', this.#bytes.otherZoneTotals());
+    }, BYTES_LOG_INTERVAL_MILLISECONDS);
     this.register(
       toDisposable(() => {
         clearInterval(timer);
+        clearInterval(bytesTimer);
       }),
     );
     this.metrics.gauge('hickoryhoist_store_reachable', () => Number(this.#health.isReachable));
@@ -336,6 +355,13 @@
     this.metrics.gauge('hickoryhoist_is_assigner', () => Number(this.#keyOwnership.isAssigner));
   }
 
+  #renderMetrics(): string {
+    for (const { kind, relation, bytes } of this.#bytes.totals()) {
+      this.metrics.setCounter('hickoryhoist_bytes_total', { kind, zone: relation }, bytes);
+    }
+    return this.metrics.render();
+  }
+
   #tick(): void {
     const now = performance.now();
     const lateness = Math.max(0, now - this.#tickDueAt);
--- a/packages/entryVm/src/node/tableExchange.ts
+++ b/packages/entryVm/src/node/tableExchange.ts
@@ -12,6 +12,7 @@
   TableWatcher,
 } from '@hickoryhoist/store/common/tableWatcher.js';
 import { changesForNeighbour } from '../common/neighbourChanges.js';
+import type { EntryVmRecord } from '../common/entryVmRegistry.js';
 import type { NeighbourSelector } from '../common/neighbourSelector.js';
 import { TextServer, type TextResponse } from './textServer.js';
 
@@ -38,6 +39,8 @@
   readonly additionalRows: (table: string) => readonly StoredRow[];
   readonly selector: NeighbourSelector;
   readonly port: number;
+  /** Counts the bytes of a copy that was read from another entry VM. */
+  readonly countRead?: (neighbour: EntryVmRecord, bytes: number) => void;
   readonly logger: Logger;
 }
 
@@ -80,6 +83,7 @@
         path,
         timeoutMilliseconds: RESPONSE_TIMEOUT_MILLISECONDS,
       });
+      this.#options.countRead?.(neighbour, text.length);
       if (status !== OK_STATUS) {
         return { kind: status === INCOMPLETE_STATUS ? 'incomplete' : 'unavailable' };
       }
