Place pooled requests in their zone while it has a free slot

An entry VM keeps the mean size of each route's responses. If request and response take a millisecond or more on the median link of the entry VMs, it sends the size with the slot request, and the coordinator prefers servers of the requesting zone that have a free slot and are expected to meet the goal in half of the time left. A full server of the zone has no advantage, so nothing waits for it while another zone has a free slot at a server as fast. Large bodies follow the same rule now; they used to wait behind the requests of their zone.

On links of 10 Mbit/s responses from 1,250 bytes on count, on those of 750 Mbit/s from 93,750 on: the earlier deployments are served as before.

--- a/packages/dispatch/src/common/callerRequest.ts
+++ b/packages/dispatch/src/common/callerRequest.ts
@@ -9,6 +9,8 @@
   readonly target: string;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: Buffer;
+  /** Expected size of the response in bytes, if it matters to the choice of the server. */
+  readonly responseBytes?: number | undefined;
   readonly key: number | undefined;
   readonly route: Route;
   readonly service: string;
--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -249,6 +249,7 @@
           availabilityZone: this.#availabilityZone,
           rank: request.route.rank,
           bodyBytes: request.body.length,
+          responseBytes: request.responseBytes,
           goalAt: request.goalAt,
           deadlineAt: request.deadlineAt,
         },
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest, RequestOutcome } from '@hickoryhoist/dispatch/common/callerRequest.js';
 import { CrashingRequestDetector } from '@hickoryhoist/dispatch/common/crashingRequestDetector.js';
 import { RequestDispatcher } from '@hickoryhoist/dispatch/common/requestDispatcher.js';
+import { ResponseSizes } from '@hickoryhoist/dispatch/common/responseSizes.js';
 import { RetryBudget } from '@hickoryhoist/dispatch/common/retryBudget.js';
 import { ServerConnectionPool } from '@hickoryhoist/dispatch/node/serverConnectionPool.js';
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
@@ -17,6 +18,7 @@
 import { ByteAccount } from '../common/byteAccount.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
 import { CountedServerTransport, countGrants } from '../common/countedServerTransport.js';
+import { CrossingCost } from '../common/crossingCost.js';
 import { EntryVmMetrics } from '../common/entryVmMetrics.js';
 import { EntryVmRoutingView } from '../common/entryVmRoutingView.js';
 import type { EntryVmSettings } from '../common/entryVmSettings.js';
@@ -77,6 +79,8 @@
   readonly #callerServer: CallerServer;
   readonly #connections: ServerConnectionPool;
   readonly #bytes: ByteAccount;
+  readonly #responseSizes = new ResponseSizes();
+  readonly #crossingCost = new CrossingCost(this.#responseSizes, () => this.#entryVmRegistry.entryVms());
   readonly #readinessServer: TextServer;
   readonly #metricsServer: TextServer;
   #routes: RouteTable | undefined;
@@ -419,11 +423,16 @@
     return this.#routes?.configuration.services ?? new Map<string, RoutedService>();
   }
 
-  #dispatch(dispatcher: RequestDispatcher, request: CallerRequest): Promise<RequestOutcome> {
+  async #dispatch(dispatcher: RequestDispatcher, request: CallerRequest): Promise<RequestOutcome> {
     if (request.isKeyed && request.key !== undefined) {
       this.#keyOwnership.recordRequest(request.service, request.key);
     }
-    return dispatcher.dispatch(request);
+    const responseBytes = this.#crossingCost.responseBytes(request);
+    const outcome = await dispatcher.dispatch({ ...request, responseBytes });
+    if (outcome.kind === 'answered') {
+      this.#responseSizes.record(request.route.name, outcome.body.length);
+    }
+    return outcome;
   }
 
   #recordCompletion(completed: CompletedRequest): void {
