Bound the bodies that a process holds for callers

Each body was collected in chunks up to the limit and then copied once more; nothing bounded all bodies together. Small bodies held more than their size as well: a chunk is a slice of the buffer of its read.

A declared length is reserved before the body is read, and allocated once; what does not fit is refused with 503 and retry-after before a byte of it is read. The connection is closed only after the rest of the body was discarded for up to 2 s, since closing with unread bytes resets the connection and loses the response. A body that is not complete within the time of its request is refused with 408, so that a stalled upload does not keep its reservation. Responses cannot be refused: the largest one that is held gives way.

Ruled out: writing bodies to files (memory on these VMs) and counting only bytes already read (uploads that are half read would exhaust the budget, and none could be completed).

--- a/packages/entryVm/src/common/entryVmSettings.ts
+++ b/packages/entryVm/src/common/entryVmSettings.ts
@@ -23,5 +23,7 @@
   readonly retryBudget: RetryBudgetOptions;
   /** Limits on the responses of servers. */
   readonly responseLimits: ResponseLimits;
+  /** Maximum bytes of the bodies of requests and responses that are held for callers; infinite for no limit. */
+  readonly maxHeldBodyBytes: number;
   readonly logLevel: LogLevel;
 }
--- a/packages/entryVm/src/node/callerServer.ts
+++ b/packages/entryVm/src/node/callerServer.ts
@@ -6,11 +6,13 @@
 import { firstHeaderValue } from '@hickoryhoist/base/common/headerValue.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { splitAddress } from '@hickoryhoist/base/common/networkAddress.js';
+import type { MemoryBudget, MemoryReservation } from '@hickoryhoist/connection/common/memoryBudget.js';
 import type { CallerRequest, RequestOutcome } from '@hickoryhoist/dispatch/common/callerRequest.js';
 import type { CallerLimits } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import type { RouteMatch, RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import type { CallerProtocol } from '../common/callerProtocol.js';
 import { CallerWaitEstimator } from '../common/callerWaitEstimator.js';
+import { type BodyResult, readRequestBody } from './requestBody.js';
 
 /** The server could not bind its address. */
 export class ListenError extends HickoryhoistError {
@@ -26,6 +28,10 @@
 /** Idle timeout of connections until a configuration has been loaded. */
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Delay before a request whose body does not fit into memory is worth another try, in milliseconds. */
+const NO_MEMORY_RETRY_AFTER_MILLISECONDS = 500;
+/** Time for which the rest of a refused body is discarded before its connection is closed, in milliseconds. */
+const DISCARD_MILLISECONDS = 2_000;
 
 /** Result of a request, for metrics and logs. */
 export interface CompletedRequest {
@@ -44,6 +50,8 @@
   readonly routes: () => RouteTable | undefined;
   readonly dispatch: (request: CallerRequest) => Promise<RequestOutcome>;
   readonly onDidComplete: (completed: CompletedRequest) => void;
+  /** Bounds the bodies of requests and responses that are held. */
+  readonly memory: MemoryBudget;
   readonly logger: Logger;
 }
 
@@ -131,7 +139,7 @@
 
   async #serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = performance.now();
-    const { protocol, dispatch, logger } = this.#options;
+    const { protocol, logger } = this.#options;
     const id = firstHeaderValue(message.headers, protocol.requestIdHeader) ?? '';
     const routes = this.#options.routes();
     const callerAbort = new AbortController();
@@ -150,29 +158,46 @@
     if (match === undefined || routes === undefined) {
       return;
     }
-    const body = await readBody(message, routes.configuration.limits.maxBodyBytes);
+    const body = await this.#readBody(message, match, routes.configuration.limits.maxBodyBytes, arrivedAt);
     // The caller may have closed the connection already, with that event still pending in the event loop.
     await waitForPendingIo();
-    if (callerAbort.signal.aborted) {
-      logger.log('info', 'caller-disconnected-before-dispatch', { request: id });
+    if (body.kind === 'caller-disconnected' || callerAbort.signal.aborted) {
+      logger.log(
+        'info',
+        body.kind === 'read' ? 'caller-disconnected-before-dispatch' : 'caller-disconnected-while-sending',
+        { request: id },
+      );
+      disposeBody(body);
       return;
     }
-    if (body.kind === 'caller-disconnected') {
-      logger.log('info', 'caller-disconnected-while-sending', { request: id });
+    if (body.kind !== 'read') {
+      const status = this.#refuseBody(message, response, id, body);
+      this.#complete(id, match, status, undefined, undefined, arrivedAt, Number.POSITIVE_INFINITY);
       return;
     }
-    if (body.kind === 'too-large') {
-      this.#reject(message, response, 413, 'body-too-large');
-      this.#complete(id, match, 413, undefined, undefined, arrivedAt, Number.POSITIVE_INFINITY);
-      return;
+    try {
+      await this.#run(message, response, id, match, body.body, arrivedAt, callerAbort.signal);
+    } finally {
+      body.memory.dispose();
     }
-    const request = this.#createRequest(message, id, match, body.body, arrivedAt, callerAbort.signal);
+  }
+
+  async #run(
+    message: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    match: RouteMatch,
+    body: Buffer,
+    arrivedAt: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const request = this.#createRequest(message, id, match, body, arrivedAt, signal);
     if (this.#hasStoppedAccepting && request.deadlineAt >= this.#responseDeadline) {
       this.#reject(message, response, 503, 'stopping', STOPPING_RETRY_AFTER_MILLISECONDS);
       this.#complete(id, match, 503, undefined, undefined, arrivedAt, Number.POSITIVE_INFINITY);
       return;
     }
-    const outcome = await dispatch(request);
+    const outcome = await this.#options.dispatch(request);
     const status = this.#respond(response, request, outcome);
     this.#complete(id, match, status, outcome, request.key, arrivedAt, request.goalAt - arrivedAt);
   }
@@ -188,10 +213,84 @@
     if (match === undefined) {
       return { status: 404, reason: 'unknown-route' };
     }
-    const length = Number(message.headers['content-length'] ?? 0);
-    return length > routes.configuration.limits.maxBodyBytes
-      ? { status: 413, reason: 'body-too-large' }
-      : undefined;
+    return undefined;
+  }
+
+  #readBody(
+    message: IncomingMessage,
+    { route }: RouteMatch,
+    maxBytes: number,
+    arrivedAt: number,
+  ): Promise<BodyResult> {
+    const timeoutMilliseconds = Math.min(
+      this.#callerTimeout(message) ?? route.timeoutMilliseconds,
+      route.timeoutMilliseconds,
+    );
+    return readRequestBody(
+      message,
+      { maxBytes, deadlineAt: arrivedAt + timeoutMilliseconds },
+      this.#options.memory,
+    );
+  }
+
+  #callerTimeout(message: IncomingMessage): number | undefined {
+    return parsePositiveInteger(firstHeaderValue(message.headers, this.#options.protocol.timeoutHeader));
+  }
+
+  /** Refuses a request whose body was not read completely, so that no server has received it. @returns the status. */
+  #refuseBody(
+    message: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    body: Exclude<BodyResult, { kind: 'read' | 'caller-disconnected' }>,
+  ): number {
+    switch (body.kind) {
+      case 'too-large':
+        this.#reject(message, response, 413, 'body-too-large');
+        return 413;
+      case 'late':
+        this.#rejectAndClose(message, response, id, 408, 'body-late');
+        return 408;
+      case 'no-memory': {
+        const { usedBytes, maxBytes } = this.#options.memory;
+        this.#options.logger.log('warn', 'request-body-refused', {
+          request: id,
+          bytes: body.bytes,
+          heldBytes: usedBytes,
+          maxBytes,
+        });
+        this.#rejectAndClose(message, response, id, 503, 'memory', NO_MEMORY_RETRY_AFTER_MILLISECONDS);
+        return 503;
+      }
+    }
+  }
+
+  /**
+   * Rejects a request and closes its connection once the caller has sent the body or had time to read the response:
+   * closing a connection with unread bytes resets it, and the response may be lost.
+   */
+  #rejectAndClose(
+    message: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    status: number,
+    reason: string,
+    retryAfterMilliseconds?: number,
+  ): void {
+    if (response.destroyed) {
+      return;
+    }
+    const { headers, body } = this.#rejection(id, reason, retryAfterMilliseconds);
+    response.writeHead(status, { ...headers, 'content-length': body.length, connection: 'close' });
+    response.write(body);
+    const close = (): void => {
+      clearTimeout(timer);
+      response.end();
+    };
+    const timer = setTimeout(close, DISCARD_MILLISECONDS);
+    message.once('close', close);
+    message.once('end', close);
+    message.resume();
   }
 
   #createRequest(
@@ -203,9 +302,7 @@
     signal: AbortSignal,
   ): CallerRequest {
     const { protocol } = this.#options;
-    const callerTimeout =
-      parsePositiveInteger(firstHeaderValue(message.headers, protocol.timeoutHeader)) ??
-      route.timeoutMilliseconds;
+    const callerTimeout = this.#callerTimeout(message) ?? route.timeoutMilliseconds;
     const waitedMilliseconds = this.#callerWaits.record(route.name, callerTimeout);
     const keyText = firstHeaderValue(message.headers, protocol.keyHeader);
     const key = keyText !== undefined && /^\d{1,5}$/.test(keyText) ? Number(keyText) : undefined;
@@ -289,7 +386,15 @@
     reason: string,
     retryAfterMilliseconds?: number,
   ): void {
-    const body = Buffer.from(`${reason}\n`);
+    const { headers, body } = this.#rejection(id, reason, retryAfterMilliseconds);
+    this.#writeResponse(response, status, headers, body);
+  }
+
+  #rejection(
+    id: string,
+    reason: string,
+    retryAfterMilliseconds?: number,
+  ): { readonly headers: Record<string, string>; readonly body: Buffer } {
     const headers: Record<string, string> = { 'content-type': 'text/plain' };
     if (id !== '') {
       headers[this.#options.protocol.requestIdHeader] = id;
@@ -297,7 +402,7 @@
     if (retryAfterMilliseconds !== undefined) {
       headers['retry-after'] = (retryAfterMilliseconds / MILLISECONDS_PER_SECOND).toFixed(3);
     }
-    this.#writeResponse(response, status, headers, body);
+    return { headers, body: Buffer.from(`${reason}\n`) };
   }
 
   #writeResponse(
@@ -319,6 +424,23 @@
       ...(Number.isFinite(this.#responseDeadline) ? { connection: 'close' } : {}),
     });
     response.end(body);
+    if (response.writableLength > 0) {
+      this.#holdResponse(response, body.length);
+    }
+  }
+
+  /** Counts the body of a response that the caller has not taken yet. */
+  #holdResponse(response: ServerResponse, bytes: number): void {
+    const memory: MemoryReservation = this.#options.memory.hold(bytes, () => {
+      this.#options.logger.log('warn', 'slow-reader-disconnected', {
+        request: firstHeaderValue(response.req.headers, this.#options.protocol.requestIdHeader),
+        bytes,
+      });
+      response.destroy();
+    });
+    response.once('close', () => {
+      memory.dispose();
+    });
   }
 
   #complete(
@@ -343,35 +465,12 @@
   }
 }
 
-type BodyResult =
-  | { readonly kind: 'read'; readonly body: Buffer }
-  | { readonly kind: 'too-large' }
-  | { readonly kind: 'caller-disconnected' };
-
-function readBody(message: IncomingMessage, maxBytes: number): Promise<BodyResult> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    message.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
-        resolve({ kind: 'too-large' });
-      } else {
-        chunks.push(chunk);
-      }
-    });
-    message.on('end', () => {
-      resolve({ kind: 'read', body: Buffer.concat(chunks) });
-    });
-    message.on('close', () => {
-      resolve({ kind: 'caller-disconnected' });
-    });
-    message.on('error', () => {
-      resolve({ kind: 'caller-disconnected' });
-    });
-  });
-}
-
 function parsePositiveInteger(text: string | undefined): number | undefined {
   return text !== undefined && /^\d{1,9}$/.test(text) && Number(text) > 0 ? Number(text) : undefined;
 }
+
+function disposeBody(body: BodyResult): void {
+  if (body.kind === 'read') {
+    body.memory.dispose();
+  }
+}
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -3,6 +3,7 @@
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { MemoryBudget } from '@hickoryhoist/connection/common/memoryBudget.js';
 import type { CallerRequest, RequestOutcome } from '@hickoryhoist/dispatch/common/callerRequest.js';
 import { CrashingRequestDetector } from '@hickoryhoist/dispatch/common/crashingRequestDetector.js';
 import { RequestDispatcher } from '@hickoryhoist/dispatch/common/requestDispatcher.js';
@@ -197,6 +198,9 @@
       new CrashingRequestDetector(),
       logger,
     );
+    const memory = new MemoryBudget(settings.maxHeldBodyBytes);
+    this.metrics.gauge('hickoryhoist_held_body_bytes', () => memory.usedBytes);
+    this.metrics.gauge('hickoryhoist_held_body_bytes_limit', () => memory.maxBytes);
     this.#callerServer = this.register(
       new CallerServer({
         protocol: binding.callerProtocol,
@@ -205,6 +209,7 @@
         onDidComplete: (completed) => {
           this.#recordCompletion(completed);
         },
+        memory,
         logger,
       }),
     );
--- a/packages/entryVm/src/node/test/callerServer.test.ts
+++ b/packages/entryVm/src/node/test/callerServer.test.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import * as assert from 'uvu/assert';
+import { MemoryBudget } from '@hickoryhoist/connection/common/memoryBudget.js';
 import type { CallerRequest } from '@hickoryhoist/dispatch/common/callerRequest.js';
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { findFreePort } from '@hickoryhoist/standIns/node/freePort.js';
@@ -53,6 +54,7 @@
       return Promise.resolve({ kind: 'answered', serverId: 'server-1', status: 200, headers: {}, body });
     },
     onDidComplete: () => undefined,
+    memory: new MemoryBudget(Number.POSITIVE_INFINITY),
     logger: { log: () => undefined },
   });
   const port = await findFreePort();
