Count calls to the store by cause

The metric told the kind of a call (read, wait, write) and its outcome, so that nobody saw which of the mechanisms made the calls that a deployment pays for. The cause follows from the table and the rows of the call, so no caller states it. The test of the metrics page names the cause as well: the line that it looked for has a further label now.

--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -24,6 +24,7 @@
 import type { PeerMessage } from '../common/peerMessage.js';
 import type { PlatformBinding } from '../common/platformBinding.js';
 import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
+import { storeCallCause } from '../common/storeCallCause.js';
 import { CallerServer, type CompletedRequest } from './callerServer.js';
 import { PeerSocket } from './peerSocket.js';
 import { TableExchange } from './tableExchange.js';
@@ -87,8 +88,9 @@
     const incarnation = randomUUID().slice(0, 8);
     const self = { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond, incarnation };
     this.#health = new StoreHealth(logger);
-    const store = observeRowStore(binding.store, this.#health, (kind, outcome) => {
-      this.metrics.count('hickoryhoist_store_calls_total', { kind, outcome });
+    const store = observeRowStore(binding.store, this.#health, (subject, outcome) => {
+      const cause = storeCallCause(subject, binding);
+      this.metrics.count('hickoryhoist_store_calls_total', { kind: subject.kind, cause, outcome });
     });
     const selector = new NeighbourSelector(id, () => this.#entryVmRegistry.entryVms());
     this.#tableExchange = this.register(
