Keep rows in order when a read of the whole table is answered late

Seen in review: a row that a relayed change deleted while a read of the whole table was on its way came back with the answer, and a row that a relayed change added was removed. The copy then stood at the newer version, so nothing put it right until the row changed again. It happens when an assigner is elected, which reads the control table again, and when the history of the feed is lost, while other entry VMs relay changes.

Rows, deletions and versions are now in a class of their own, TableCopy, which applies an older whole read only up to its version: rows newer than it stay, and rows deleted since then stay deleted. If the deletions since then are no longer known, the table is read again.

--- a/packages/entryVm/src/common/neighbourChanges.ts
+++ b/packages/entryVm/src/common/neighbourChanges.ts
@@ -1,5 +1,6 @@
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
-import type { ListedChanges, TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
+import type { ListedChanges } from '@hickoryhoist/store/common/tableCopy.js';
+import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 
 /**
  * Changes that another entry VM gets from the copy of a table here.
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -4,6 +4,7 @@
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RowStore, StoredRow, TableChanges } from './rowStore.js';
+import { type ListedChanges, TableCopy } from './tableCopy.js';
 
 const INITIAL_BACKOFF_MILLISECONDS = 150;
 const MAX_BACKOFF_MILLISECONDS = 800;
@@ -19,9 +20,6 @@
 const FIRST_COPY_RETRY_MILLISECONDS = 50;
 const MAX_FIRST_COPY_RETRY_MILLISECONDS = 300;
 
-/** Number of deletions to remember for processes that read changes from this one. */
-const MAX_DELETIONS = 500;
-
 /** Default of `maxLagMilliseconds`. */
 export const DEFAULT_MAX_LAG_MILLISECONDS = 300;
 
@@ -78,15 +76,6 @@
 /** How the newest state of a copy arrived. */
 export type CopySource = 'store' | ChangeSource | 'neighbour';
 
-/** Changes that are known one by one. */
-export type ListedChanges = Extract<TableChanges, { kind: 'changes' }>;
-
-/** A deletion with the version up to which the changes that contained it are complete. */
-interface Deletion {
-  readonly key: string;
-  readonly version: number;
-}
-
 /** Changes that the feed returned for a given version. */
 export interface FeedChanges {
   readonly table: string;
@@ -104,7 +93,7 @@
   readonly #store: RowStore;
   readonly #options: TableWatcherOptions;
   readonly #logger: Logger;
-  readonly #rows = new Map<string, StoredRow>();
+  readonly #copy = new TableCopy();
   readonly #onDidChange = new Emitter<void>();
   readonly #onDidReadFeed = new Emitter<FeedChanges>();
   #source: ChangeSource = 'feed';
@@ -121,16 +110,11 @@
   #haveNeighboursBeenAsked = false;
   /** Attempts to read missing changes since the copy fell behind. */
   #catchUpAttempts = 0;
-  /** Recent deletions, the oldest first, and the version from which on they are complete. */
-  readonly #deletions: Deletion[] = [];
-  #deletionsCompleteFrom = 0;
   /** Whether the whole table is to be read again. */
   #isReloadDue = false;
   #wakeUp: () => void = () => undefined;
-  #version: number | undefined;
   #fullReadCount = 0;
   #backoffMilliseconds = INITIAL_BACKOFF_MILLISECONDS;
-  #newestChange = 0;
   /**
    * Version from which on the table did not change up to `#version`. Versions count the changes of all tables, so a
    * process that knows this version has missed nothing although its own is lower.
@@ -162,17 +146,17 @@
 
   /** Rows by key. */
   get rows(): ReadonlyMap<string, StoredRow> {
-    return this.#rows;
+    return this.#copy.rows;
   }
 
   /** Whether the table has been read at least once. */
   get isLoaded(): boolean {
-    return this.#version !== undefined;
+    return this.version !== undefined;
   }
 
   /** Whether the copy contains all changes that other processes are known to have seen. */
   get isCurrent(): boolean {
-    return this.#version !== undefined && this.#expectedVersion <= this.#version;
+    return this.version !== undefined && this.#expectedVersion <= this.version;
   }
 
   /** Number of completed reads of the whole table from the store. */
@@ -182,7 +166,7 @@
 
   /** Version up to which all changes are known; undefined until the table has been read. */
   get version(): number | undefined {
-    return this.#version;
+    return this.#copy.version;
   }
 
   /**
@@ -200,7 +184,7 @@
 
   /** Version of the newest known change of this table. */
   get newestChange(): number {
-    return this.#newestChange;
+    return this.#copy.newestChange;
   }
 
   /**
@@ -209,7 +193,7 @@
    */
   expectVersion(version: number): void {
     this.#expectedVersion = Math.max(this.#expectedVersion, version);
-    if (this.#version === undefined || this.#expectedVersion <= this.#version) {
+    if (this.version === undefined || this.#expectedVersion <= this.version) {
       this.#behindSince = undefined;
       this.#catchUpAttempts = 0;
       return;
@@ -221,7 +205,7 @@
       this.#behindSince = undefined;
       this.#logger.log('info', 'table-behind', {
         table: this.#options.table,
-        version: this.#version,
+        version: this.version,
         expected: this.#expectedVersion,
       });
       this.#catchUp();
@@ -266,7 +250,7 @@
       this.#source = source;
       this.#isPollDue ||=
         source === 'feed' &&
-        this.#version !== undefined &&
+        this.version !== undefined &&
         performance.now() - this.#confirmedAt > this.#options.waitMilliseconds(false);
       this.#wakeUp();
     }
@@ -274,10 +258,10 @@
 
   /** Applies changes that another process relays. If changes before them are missing here, reads the feed instead. */
   applyRelayedChanges(after: number, changes: FeedChanges['changes']): void {
-    if (this.#version === undefined || changes.version <= this.#version) {
+    if (this.version === undefined || changes.version <= this.version) {
       return;
     }
-    if (after > this.#version) {
+    if (after > this.version) {
       this.expectVersion(changes.newestChange);
       this.#catchUp();
       return;
@@ -291,19 +275,7 @@
    * @returns undefined if deletions since then are no longer known.
    */
   changesAfter(after: number): ListedChanges | undefined {
-    const version = this.#version;
-    if (version === undefined || (after !== 0 && after < this.#deletionsCompleteFrom)) {
-      return undefined;
-    }
-    return {
-      kind: 'changes',
-      rows: [...this.#rows.values()].filter((row) => row.version > after),
-      deletedKeys: [
-        ...new Set(this.#deletions.filter((deletion) => deletion.version > after).map(({ key }) => key)),
-      ],
-      newestChange: this.#newestChange,
-      version,
-    };
+    return this.#copy.changesAfter(after);
   }
 
   /**
@@ -356,13 +328,13 @@
       await this.#reloadTable();
       return;
     }
-    if (this.#version === undefined) {
+    if (this.version === undefined) {
       await this.#readFirstCopy(firstCopySource?.() ?? 'store');
       return;
     }
     if (this.#isCatchUpDue) {
       this.#isCatchUpDue = false;
-      await this.#readNeighbour(this.#version);
+      await this.#readNeighbour(this.version);
       return;
     }
     if (this.#source === 'relay' && !this.#isPollDue) {
@@ -374,7 +346,7 @@
     }
     const wait = this.#isPollDue ? 0 : waitMilliseconds(this.#followsChange);
     this.#isPollDue = false;
-    const after = this.#version;
+    const after = this.version;
     this.#waitAbort = new AbortController();
     this.#isPolling = wait === 0;
     let changes: TableChanges;
@@ -386,7 +358,7 @@
     this.#waitAbort = undefined;
     switch (changes.kind) {
       case 'history-lost':
-        this.#logger.log('info', 'table-history-lost', { table, version: this.#version });
+        this.#logger.log('info', 'table-history-lost', { table, version: this.version });
         await this.#readTable();
         return;
       case 'changes': {
@@ -417,7 +389,7 @@
     return isRelevantChange === undefined
       ? rows
       : rows.filter((row) => {
-          const before = this.#rows.get(row.key);
+          const before = this.rows.get(row.key);
           return (before !== undefined && before.version > after) || isRelevantChange(before, row);
         });
   }
@@ -445,7 +417,6 @@
     this.#firstCopyAttempts += 1;
     switch (result.kind) {
       case 'changes':
-        this.#deletionsCompleteFrom = result.version;
         if (!this.#apply(result, 'neighbour')) {
           this.#onDidChange.fire();
         }
@@ -493,7 +464,7 @@
     const result = await this.#readChangesOfNeighbour(0, attempt);
     if (result.kind === 'changes') {
       const keys = new Set(result.rows.map(({ key }) => key));
-      const missing = [...this.#rows.values()].filter(
+      const missing = [...this.rows.values()].filter(
         ({ key, version }) => version <= result.version && !keys.has(key),
       );
       this.#apply({ ...result, deletedKeys: missing.map(({ key }) => key) }, 'neighbour');
@@ -510,27 +481,17 @@
     }
   }
 
-  #apply({ version, newestChange, deletedKeys, rows }: ListedChanges, source: CopySource): boolean {
-    if (version < (this.#version ?? 0)) {
-      // The other source has delivered a newer version, in which rows deleted here may have been written again.
+  #apply(changes: ListedChanges, source: CopySource): boolean {
+    if (changes.version < (this.version ?? 0)) {
       return false;
     }
-    this.#recordDeletions(deletedKeys, version);
-    this.#version = Math.max(this.#version ?? 0, version);
+    const isChanged = this.#copy.apply(changes);
     this.#lastSource = source;
-    this.#recordUnchanged(source, version, newestChange);
-    this.#newestChange = Math.max(this.#newestChange, newestChange);
-    if (rows.length === 0 && deletedKeys.length === 0) {
-      return false;
-    }
-    for (const key of deletedKeys) {
-      this.#rows.delete(key);
+    this.#recordUnchanged(source, changes.version, changes.newestChange);
+    if (isChanged) {
+      this.#onDidChange.fire();
     }
-    rows.forEach((row) => {
-      this.#putIfNewer(row);
-    });
-    this.#onDidChange.fire();
-    return true;
+    return isChanged;
   }
 
   /** Reads the whole table. A reload requested while the read is in progress leads to another read. */
@@ -547,21 +508,12 @@
   async #readTable(): Promise<void> {
     const snapshot = await this.#store.readTable(this.#options.table);
     this.#confirmedAt = performance.now();
-    const keys = new Set(snapshot.rows.map(({ key }) => key));
-    const deletedKeys = [...this.#rows.keys()].filter((known) => !keys.has(known));
-    for (const key of deletedKeys) {
-      this.#rows.delete(key);
-    }
-    if (this.#version === undefined) {
-      this.#deletionsCompleteFrom = snapshot.version;
+    if (!this.#copy.applySnapshot(snapshot)) {
+      this.#isReloadDue = true;
+      return;
     }
-    this.#recordDeletions(deletedKeys, snapshot.version);
-    snapshot.rows.forEach((row) => {
-      this.#putIfNewer(row);
-    });
-    this.#version = Math.max(this.#version ?? 0, snapshot.version);
     this.#lastSource = 'store';
-    this.#unchangedSince = this.#version;
+    this.#unchangedSince = this.version ?? 0;
     this.#fullReadCount += 1;
     this.#onDidChange.fire();
   }
@@ -578,18 +530,4 @@
         this.#unchangedSince = Math.max(this.#unchangedSince, version);
     }
   }
-
-  #recordDeletions(keys: readonly string[], version: number): void {
-    this.#deletions.push(...keys.map((key) => ({ key, version })));
-    for (const { version: forgotten } of this.#deletions.splice(0, this.#deletions.length - MAX_DELETIONS)) {
-      this.#deletionsCompleteFrom = Math.max(this.#deletionsCompleteFrom, forgotten);
-    }
-  }
-
-  #putIfNewer(row: StoredRow): void {
-    if (row.version >= (this.#rows.get(row.key)?.version ?? 0)) {
-      this.#rows.set(row.key, row);
-      this.#newestChange = Math.max(this.#newestChange, row.version);
-    }
-  }
 }
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -1,9 +1,11 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
+import { delay } from '@hickoryhoist/base/common/asynchronous.js';
 import { silentLogger } from '@hickoryhoist/base/common/logger.js';
 import { MemoryRowStore } from '@hickoryhoist/standIns/common/emulator/memoryRowStore.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { observeRowStore } from '../observedRowStore.js';
+import type { RowStore } from '../rowStore.js';
 import { StoreHealth } from '../storeHealth.js';
 import {
   type FeedChanges,
@@ -83,6 +85,50 @@
     });
   });
 
+  it('keeps what relays have deleted and added while a read of the whole table was on its way', async () => {
+    const store = new MemoryRowStore();
+    const connected = store.connect('vm');
+    const clock = FakeTimers.install({ now: 0, toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+    // The store reads the table at once and its response takes long.
+    const slowReads: RowStore = {
+      ...connected,
+      readTable: async (table) => {
+        const snapshot = await connected.readTable(table);
+        await delay(200);
+        return snapshot;
+      },
+    };
+    const watcher = new TableWatcher(
+      slowReads,
+      { table: TABLE, waitMilliseconds: () => 10_000, pauseMilliseconds: 10 },
+      silentLogger,
+    );
+    try {
+      store.put(TABLE, 'deleted', 'one');
+      store.put(TABLE, 'kept', 'one');
+      await clock.tickAsync(300);
+      watcher.setSource('relay');
+      watcher.reload();
+      await clock.tickAsync(50);
+      const after = watcher.version ?? 0;
+      watcher.applyRelayedChanges(after, {
+        kind: 'changes',
+        rows: [{ table: TABLE, key: 'added', value: 'one', version: after + 2 }],
+        deletedKeys: ['deleted'],
+        newestChange: after + 2,
+        version: after + 2,
+      });
+      const before = watcher.fullReadCount;
+      await clock.tickAsync(300);
+      assert.is(watcher.fullReadCount, before + 1);
+      assert.equal([...watcher.rows.keys()].sort(), ['added', 'kept']);
+      assert.is(watcher.version, after + 2);
+    } finally {
+      watcher.dispose();
+      clock.uninstall();
+    }
+  });
+
   it('applies relayed changes without calls to the store', async () => {
     await withWatcher(async (store, watcher, clock) => {
       store.put(TABLE, 'a', 'one');
