Let exactly one of two readers choose its turn by the other

The assigner reads the store for all beside the entry VM of the best rank. Each of them took the other for preferred, so both moved to the middle between two turns of the other, by the same time, and confirmed at the same moment: 1,040 ms passed between confirmations, beyond the 900 ms after which a third entry VM reads. In a replay of 60 entry VMs one of them started and stopped reading every three seconds, with four calls each time. The assigner now keeps its period.

Evidence: the replay of 60 starts ('needs few calls for many entry VMs that start within 300 ms') shows no third reader any more.

--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -147,7 +147,7 @@
     if (current.length === 0) {
       return CONFIRMATION_INTERVAL_MILLISECONDS;
     }
-    const preferred = current.filter(([id]) => this.#isPreferred(id)).map(([, confirmedAt]) => confirmedAt);
+    const preferred = current.filter(([id]) => this.#yieldsTo(id)).map(([, confirmedAt]) => confirmedAt);
     if (preferred.length === 0) {
       return WAIT_PERIOD_MILLISECONDS;
     }
@@ -307,6 +307,14 @@
     );
   }
 
+  /**
+   * Whether this process chooses its turn by that of another reader. Of two readers exactly one yields, or both would
+   * move by the same time and confirm at the same moment.
+   */
+  #yieldsTo(readerId: string): boolean {
+    return this.#options.selfId !== this.#lastAssignerId && this.#isPreferred(readerId);
+  }
+
   #recordConfirmation(readerId: string, confirmedAt: number): void {
     const known = this.#confirmations.get(readerId) ?? Number.NEGATIVE_INFINITY;
     this.#confirmations.set(readerId, Math.max(known, confirmedAt));
