Leave keys with the servers that hold them when all entry VMs return

The log shows the new assigner, 25 ms after its start, revoking the leases of all 57 ranges, 'server absent from the registry': it was elected before it had read one server, and the control table was all that it waited for. It now waits until the store has confirmed its copy of every table once since its start.

With that alone the first machines to return would have acted late: they read the servers from neighbours, which have no power yet, in two rounds of 500 ms each before they read the store. FirstCopyReader takes a neighbour that is silent for 250 ms for one without power and reads the store; a process that reads the store for all reads it at once. A process that has just read all tables from the store is ready without hearing a reader, as its copies are as new as a reader's. A whole read no longer leaves a needless read of the feed behind it.

Ruled out: the servers' own grants (they last 4 s, the power was back after 1.7 s) and the lease of the former assigner (its process had started again, so it counted as gone).

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -1,15 +1,10 @@
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
-import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import {
   estimateProcessingTimes,
   type ProcessingTimeEstimate,
 } from '@hickoryhoist/dispatch/common/processingTimes.js';
-import {
-  AssignerElection,
-  CONFIRMATION_TABLE,
-  type HeldTerm,
-} from '@hickoryhoist/keyownership/common/assignerElection.js';
+import { AssignerElection, type HeldTerm } from '@hickoryhoist/keyownership/common/assignerElection.js';
 import {
   ASSIGNER_ROW_KEY,
   CONTROL_TABLE,
@@ -31,27 +26,11 @@
 import { broadcastCapacity, type EntryVmRegistry, type EntryVmRecord } from './entryVmRegistry.js';
 import type { PeerMessage } from './peerMessage.js';
 import type { ServerRegistry } from './serverRegistry.js';
+import { PROBE_AFTER_MILLISECONDS, StoreProbe } from './storeProbe.js';
 import { StoreReaders } from './storeReaders.js';
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
 const REPORT_INTERVAL_MILLISECONDS = 400;
-/**
- * Entry VMs probe the store after this long without a heartbeat of the assigner, or when the assigner has not
- * reached the store for this long.
- */
-const PROBE_AFTER_MILLISECONDS = 800;
-const PROBE_INTERVAL_MILLISECONDS = 1_000;
-/**
- * Delay between the first probes of entry VMs of consecutive ranks. Those that would replace the assigner later need
- * not know yet whether they reach the store.
- */
-const PROBE_RANK_DELAY_MILLISECONDS = 120;
-/** Maximum delay of a first probe by rank. An entry VM that lost the assigner and the store must notice the latter. */
-const MAX_PROBE_RANK_DELAY_MILLISECONDS = 2_400;
-/** Interval between the probes of an entry VM that cannot reach the store and does not replace the assigner soon. */
-const FOLLOWER_PROBE_INTERVAL_MILLISECONDS = 2_000;
-/** Entry VMs of lower ranks than this probe an unreachable store less often. */
-const FREQUENT_PROBE_RANKS = 8;
 /** Limit for each service. If there are more requests in the interval, the first ones serve as a sample. */
 const MAX_KEYS_PER_REPORT = 120;
 /**
@@ -61,6 +40,8 @@
 const MAX_DELTA_RANGES = 100;
 /** Attempts to read assignments from other entry VMs before they are read from the store. */
 const NEIGHBOUR_ATTEMPTS = 2;
+/** Age of copies read from the store up to which a process that starts counts as current, as with a reader's copies. */
+const MAX_FIRST_COPY_AGE_MILLISECONDS = 900;
 /** The row of an entry VM that sends no message for this long is deleted. If it returns, it writes it again. */
 const REMOVAL_TIMEOUT_MILLISECONDS = 8_000;
 
@@ -89,6 +70,7 @@
   readonly #options: KeyOwnershipControllerOptions;
   readonly #election: AssignerElection;
   readonly #readers: StoreReaders;
+  readonly #probe: StoreProbe;
   readonly #assigners = new Map<string, KeyAssigner>();
   readonly #trafficByService = new Map<string, KeyTrafficWindow>();
   readonly #processingTimes = new Map<string, ProcessingTimeEstimate>();
@@ -105,7 +87,6 @@
   #assignerStoreSilence = 0;
   /** Whether the copies of the tables have been current since this process started. They may come from neighbours. */
   #hasBeenCurrent = false;
-  #nextProbeAt = 0;
   #nextHeartbeatAt = 0;
   #nextReportAt = 0;
 
@@ -150,6 +131,7 @@
         this.owners.applyRows(controlRows.rows);
       }),
     );
+    this.#probe = new StoreProbe(store, logger);
     this.#readers = new StoreReaders({
       selfId: self.id,
       tables: options.tables,
@@ -183,7 +165,8 @@
   /** Whether the owners of all keyed services are known, and the tables have been as new as those of the readers once. */
   get isReady(): boolean {
     this.#hasBeenCurrent ||=
-      this.#readers.hasContact && [...this.#options.tables.values()].every(({ isCurrent }) => isCurrent);
+      this.#hasReadStore() ||
+      (this.#readers.hasContact && [...this.#options.tables.values()].every(({ isCurrent }) => isCurrent));
     return (
       this.#hasBeenCurrent &&
       this.#keyedServices().every((service) => this.owners.assignmentOf(service) !== undefined)
@@ -277,7 +260,7 @@
     this.#readers.tick(now);
     const { heldTerm } = this.#election;
     if (heldTerm !== undefined) {
-      if (this.#options.controlRows.fullReadCount >= this.#requiredFullReadCount) {
+      if (this.#areTablesRead()) {
         this.#runAssigners(heldTerm);
       }
       if (now >= this.#nextHeartbeatAt) {
@@ -292,6 +275,31 @@
     }
   }
 
+  /**
+   * Whether this process knows enough to assign keys: the store has confirmed each of its copies since the process
+   * started, and the control table since it was elected. Load pattern: all entry VMs start again at the same time, and
+   * the assigner is elected before it knows any server; all keys would seem to have lost their owners.
+   */
+  #areTablesRead(): boolean {
+    const { controlRows, tables } = this.#options;
+    return (
+      controlRows.fullReadCount >= this.#requiredFullReadCount &&
+      [...tables.values()].every(({ confirmedAt }) => confirmedAt > Number.NEGATIVE_INFINITY)
+    );
+  }
+
+  /**
+   * Whether this process has just read all tables from the store itself. Load pattern: the first entry VMs that return
+   * after a loss of power hear no reader yet, and each writes its row, so that no copy of the control table is current.
+   */
+  #hasReadStore(): boolean {
+    const now = performance.now();
+    return [...this.#options.tables].every(
+      ([name, { confirmedAt, isCurrent }]) =>
+        now - confirmedAt < MAX_FIRST_COPY_AGE_MILLISECONDS && (isCurrent || name === CONTROL_TABLE),
+    );
+  }
+
   #isAssignerSuspected(): boolean {
     return performance.now() - this.#lastHeartbeatAt > PROBE_AFTER_MILLISECONDS;
   }
@@ -310,35 +318,20 @@
     return sortByBroadcastCapacity(entryVmRegistry.entryVms()).findIndex(({ id }) => id === self.id);
   }
 
-  /**
-   * Reads from the store so that the result updates its health: this process may reach the store although the
-   * assigner does not, and can then replace it. Load pattern: hundreds of entry VMs lose the assigner or the store at
-   * the same time; they probe in the order in which they would replace the assigner.
-   */
   #probeStoreIfDue(now: number): void {
-    const { store, logger, controlRows, health, entryVmRegistry } = this.#options;
+    const { controlRows, health, entryVmRegistry } = this.#options;
     if (!entryVmRegistry.isSettled) {
       this.#lastHeartbeatAt = now;
     }
-    if (now < this.#nextProbeAt || !controlRows.isLoaded) {
-      return;
-    }
-    const rank = this.#successionRank();
-    const delayMilliseconds =
-      PROBE_AFTER_MILLISECONDS +
-      Math.min(rank * PROBE_RANK_DELAY_MILLISECONDS, MAX_PROBE_RANK_DELAY_MILLISECONDS);
-    const mayReplaceAssigner =
-      !this.isAssigner &&
-      (now - this.#lastHeartbeatAt > delayMilliseconds || this.#assignerStoreSilence > delayMilliseconds);
-    if (!mayReplaceAssigner && health.isReachable) {
-      return;
+    if (controlRows.isLoaded) {
+      this.#probe.probeIfDue(now, {
+        rank: this.#successionRank(),
+        isAssigner: this.isAssigner,
+        isStoreReachable: health.isReachable,
+        millisecondsSinceHeartbeat: now - this.#lastHeartbeatAt,
+        assignerStoreSilence: this.#assignerStoreSilence,
+      });
     }
-    this.#nextProbeAt =
-      now +
-      (rank < FREQUENT_PROBE_RANKS ? PROBE_INTERVAL_MILLISECONDS : FOLLOWER_PROBE_INTERVAL_MILLISECONDS);
-    store.readTable(CONFIRMATION_TABLE).catch((error: unknown) => {
-      logger.log('debug', 'store-probe-failed', { reason: describeError(error) });
-    });
   }
 
   /** Steps down as the assigner and does not become a candidate again. */
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -121,7 +121,8 @@
       );
     const controlRows = watch(CONTROL_TABLE);
     const serverRows = watch(SERVERS_TABLE, {
-      firstCopySource: () => selector.firstCopySource(entryVmRegistry.isSettled),
+      firstCopySource: () =>
+        controller.isReader ? 'store' : selector.firstCopySource(entryVmRegistry.isSettled),
       isRelevantChange: (before, after) => isNewAnnouncement(before, after, decode),
     });
     const tables = new Map([
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -129,7 +129,8 @@
     this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, {
       isRelevantChange: (before, after) =>
         isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
-      firstCopySource: () => selector.firstCopySource(this.#entryVmRegistry.isSettled),
+      firstCopySource: () =>
+        this.#keyOwnership.isReader ? 'store' : selector.firstCopySource(this.#entryVmRegistry.isSettled),
     });
     this.#controlRows = watch(CONTROL_TABLE, CONTROL_PAUSE_MILLISECONDS);
     this.#tables = new Map([
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -3,6 +3,7 @@
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { FirstCopyReader } from './firstCopyReader.js';
 import type { RowStore, StoredRow, TableChanges } from './rowStore.js';
 import { type ListedChanges, TableCopy } from './tableCopy.js';
 
@@ -13,13 +14,6 @@
 
 /** Interval at which a process that starts checks where to read the first copy of a table, in milliseconds. */
 const FIRST_COPY_POLL_MILLISECONDS = 50;
-/**
- * Delay before another neighbour is asked for the first copy of a table, in milliseconds: it may have none yet either.
- * It doubles with each attempt up to the maximum, for neighbours that read a slow store.
- */
-const FIRST_COPY_RETRY_MILLISECONDS = 50;
-const MAX_FIRST_COPY_RETRY_MILLISECONDS = 300;
-
 /** Default of `maxLagMilliseconds`. */
 export const DEFAULT_MAX_LAG_MILLISECONDS = 300;
 
@@ -104,10 +98,7 @@
   #isFeedContinuous = false;
   /** Whether missing changes are to be read from a neighbour. */
   #isCatchUpDue = false;
-  /** Attempts to read the first copy of the table. */
-  #firstCopyAttempts = 0;
-  /** Whether all neighbours have been asked for the first copy once. */
-  #haveNeighboursBeenAsked = false;
+  #firstCopyReader: FirstCopyReader | undefined;
   /** Attempts to read missing changes since the copy fell behind. */
   #catchUpAttempts = 0;
   /** Whether the whole table is to be read again. */
@@ -395,49 +386,42 @@
   }
 
   async #readFirstCopy(source: FirstCopySource): Promise<void> {
-    switch (source) {
-      case 'undecided':
-        await delay(FIRST_COPY_POLL_MILLISECONDS);
-        return;
-      case 'store':
-        await this.#reloadTable();
-        return;
-      case 'neighbours':
-        await this.#readFirstCopyOfNeighbour();
+    const { table, neighbours } = this.#options;
+    if (source === 'undecided') {
+      await this.#pause(FIRST_COPY_POLL_MILLISECONDS);
+      return;
     }
-  }
-
-  /**
-   * Reads the whole table from another process, or from the store if no other process has it. Load pattern: hundreds of
-   * processes start at the same time, and a few of them read the store. Those may take long, so the store is read only
-   * when all neighbours have been asked twice.
-   */
-  async #readFirstCopyOfNeighbour(): Promise<void> {
-    const result = await this.#readChangesOfNeighbour(0, this.#firstCopyAttempts);
-    this.#firstCopyAttempts += 1;
-    switch (result.kind) {
+    if (source === 'store' || neighbours === undefined) {
+      await this.#reloadTable();
+      return;
+    }
+    this.#firstCopyReader ??= new FirstCopyReader(table, neighbours);
+    const step = await this.#firstCopyReader.readNext();
+    switch (step.kind) {
       case 'changes':
-        if (!this.#apply(result, 'neighbour')) {
+        if (!this.#apply(step, 'neighbour')) {
           this.#onDidChange.fire();
         }
         return;
-      case 'unavailable':
-      case 'incomplete':
-        await delay(
-          Math.min(
-            FIRST_COPY_RETRY_MILLISECONDS * 2 ** (this.#firstCopyAttempts - 1),
-            MAX_FIRST_COPY_RETRY_MILLISECONDS,
-          ),
-        );
+      case 'read-store':
+        await this.#reloadTable();
         return;
-      case 'use-store':
-        if (this.#haveNeighboursBeenAsked) {
-          await this.#reloadTable();
-        }
-        this.#haveNeighboursBeenAsked = true;
+      case 'retry':
+        await this.#pause(step.afterMilliseconds);
     }
   }
 
+  /** Waits, until something is to be done at once. */
+  #pause(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, milliseconds);
+      this.#wakeUp = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   /** Reads missing changes from another process, or sees to it that they are read from the store. */
   async #readNeighbour(after: number): Promise<void> {
     const attempt = this.#catchUpAttempts;
@@ -497,6 +481,8 @@
   /** Reads the whole table. A reload requested while the read is in progress leads to another read. */
   async #reloadTable(): Promise<void> {
     this.#isReloadDue = false;
+    // The whole table is as new as the changes would be.
+    this.#isPollDue = false;
     try {
       await this.#readTable();
     } catch (error) {
