--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -33,6 +33,7 @@
 import type { PeerMessage } from '../common/peerMessage.js';
 import type { PlatformBinding } from '../common/platformBinding.js';
 import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
+import { storeCallCause } from '../common/storeCallCause.js';
 import { ZoneEvacuations } from '../common/zoneEvacuations.js';
 import { CallerServer, type CompletedRequest } from './callerServer.js';
 import { PeerSocket } from './peerSocket.js';
@@ -107,8 +108,9 @@
       this.#serverRegistry.servers.get(serverId)?.availabilityZone;
     const self = { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond, incarnation };
     this.#health = new StoreHealth(logger);
-    const store = observeRowStore(binding.store, this.#health, (kind, outcome) => {
-      this.metrics.count('hickoryhoist_store_calls_total', { kind, outcome });
+    const store = observeRowStore(binding.store, this.#health, (subject, outcome) => {
+      const cause = storeCallCause(subject, binding);
+      this.metrics.count('hickoryhoist_store_calls_total', { kind: subject.kind, cause, outcome });
     });
     const selector = new NeighbourSelector(id, () => this.#entryVmRegistry.entryVms());
     this.#tableExchange = this.register(
@@ -150,7 +152,8 @@
     this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, {
       isRelevantChange: (before, after) =>
         isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
-      firstCopySource: () => selector.firstCopySource(this.#entryVmRegistry.isSettled),
+      firstCopySource: () =>
+        this.#keyOwnership.isReader ? 'store' : selector.firstCopySource(this.#entryVmRegistry.isSettled),
     });
     this.#controlRows = watch(CONTROL_TABLE, CONTROL_PAUSE_MILLISECONDS);
     this.#tables = new Map([
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -3,7 +3,9 @@
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { FirstCopyReader } from './firstCopyReader.js';
 import type { RowStore, StoredRow, TableChanges } from './rowStore.js';
+import { type ListedChanges, TableCopy } from './tableCopy.js';
 
 const INITIAL_BACKOFF_MILLISECONDS = 150;
 const MAX_BACKOFF_MILLISECONDS = 800;
@@ -12,16 +14,6 @@
 
 /** Interval at which a process that starts checks where to read the first copy of a table, in milliseconds. */
 const FIRST_COPY_POLL_MILLISECONDS = 50;
-/**
- * Delay before another neighbour is asked for the first copy of a table, in milliseconds: it may have none yet either.
- * It doubles with each attempt up to the maximum, for neighbours that read a slow store.
- */
-const FIRST_COPY_RETRY_MILLISECONDS = 50;
-const MAX_FIRST_COPY_RETRY_MILLISECONDS = 300;
-
-/** Number of deletions to remember for processes that read changes from this one. */
-const MAX_DELETIONS = 500;
-
 /** Default of `maxLagMilliseconds`. */
 export const DEFAULT_MAX_LAG_MILLISECONDS = 300;
 
@@ -78,15 +70,6 @@
 /** How the newest state of a copy arrived. */
 export type CopySource = 'store' | ChangeSource | 'neighbour';
 
-/** Changes that are known one by one. */
-export type ListedChanges = Extract<TableChanges, { kind: 'changes' }>;
-
-/** A deletion with the version up to which the changes that contained it are complete. */
-interface Deletion {
-  readonly key: string;
-  readonly version: number;
-}
-
 /** Changes that the feed returned for a given version. */
 export interface FeedChanges {
   readonly table: string;
@@ -104,7 +87,7 @@
   readonly #store: RowStore;
   readonly #options: TableWatcherOptions;
   readonly #logger: Logger;
-  readonly #rows = new Map<string, StoredRow>();
+  readonly #copy = new TableCopy();
   readonly #onDidChange = new Emitter<void>();
   readonly #onDidReadFeed = new Emitter<FeedChanges>();
   #source: ChangeSource = 'feed';
@@ -115,22 +98,14 @@
   #isFeedContinuous = false;
   /** Whether missing changes are to be read from a neighbour. */
   #isCatchUpDue = false;
-  /** Attempts to read the first copy of the table. */
-  #firstCopyAttempts = 0;
-  /** Whether all neighbours have been asked for the first copy once. */
-  #haveNeighboursBeenAsked = false;
+  #firstCopyReader: FirstCopyReader | undefined;
   /** Attempts to read missing changes since the copy fell behind. */
   #catchUpAttempts = 0;
-  /** Recent deletions, the oldest first, and the version from which on they are complete. */
-  readonly #deletions: Deletion[] = [];
-  #deletionsCompleteFrom = 0;
   /** Whether the whole table is to be read again. */
   #isReloadDue = false;
   #wakeUp: () => void = () => undefined;
-  #version: number | undefined;
   #fullReadCount = 0;
   #backoffMilliseconds = INITIAL_BACKOFF_MILLISECONDS;
-  #newestChange = 0;
   /**
    * Version from which on the table did not change up to `#version`. Versions count the changes of all tables, so a
    * process that knows this version has missed nothing although its own is lower.
@@ -162,17 +137,17 @@
 
   /** Rows by key. */
   get rows(): ReadonlyMap<string, StoredRow> {
-    return this.#rows;
+    return this.#copy.rows;
   }
 
   /** Whether the table has been read at least once. */
   get isLoaded(): boolean {
-    return this.#version !== undefined;
+    return this.version !== undefined;
   }
 
   /** Whether the copy contains all changes that other processes are known to have seen. */
   get isCurrent(): boolean {
-    return this.#version !== undefined && this.#expectedVersion <= this.#version;
+    return this.version !== undefined && this.#expectedVersion <= this.version;
   }
 
   /** Number of completed reads of the whole table from the store. */
@@ -182,7 +157,7 @@
 
   /** Version up to which all changes are known; undefined until the table has been read. */
   get version(): number | undefined {
-    return this.#version;
+    return this.#copy.version;
   }
 
   /**
@@ -200,7 +175,7 @@
 
   /** Version of the newest known change of this table. */
   get newestChange(): number {
-    return this.#newestChange;
+    return this.#copy.newestChange;
   }
 
   /**
@@ -209,7 +184,7 @@
    */
   expectVersion(version: number): void {
     this.#expectedVersion = Math.max(this.#expectedVersion, version);
-    if (this.#version === undefined || this.#expectedVersion <= this.#version) {
+    if (this.version === undefined || this.#expectedVersion <= this.version) {
       this.#behindSince = undefined;
       this.#catchUpAttempts = 0;
       return;
@@ -221,7 +196,7 @@
       this.#behindSince = undefined;
       this.#logger.log('info', 'table-behind', {
         table: this.#options.table,
-        version: this.#version,
+        version: this.version,
         expected: this.#expectedVersion,
       });
       this.#catchUp();
@@ -266,7 +241,7 @@
       this.#source = source;
       this.#isPollDue ||=
         source === 'feed' &&
-        this.#version !== undefined &&
+        this.version !== undefined &&
         performance.now() - this.#confirmedAt > this.#options.waitMilliseconds(false);
       this.#wakeUp();
     }
@@ -274,10 +249,10 @@
 
   /** Applies changes that another process relays. If changes before them are missing here, reads the feed instead. */
   applyRelayedChanges(after: number, changes: FeedChanges['changes']): void {
-    if (this.#version === undefined || changes.version <= this.#version) {
+    if (this.version === undefined || changes.version <= this.version) {
       return;
     }
-    if (after > this.#version) {
+    if (after > this.version) {
       this.expectVersion(changes.newestChange);
       this.#catchUp();
       return;
@@ -291,19 +266,7 @@
    * @returns undefined if deletions since then are no longer known.
    */
   changesAfter(after: number): ListedChanges | undefined {
-    const version = this.#version;
-    if (version === undefined || (after !== 0 && after < this.#deletionsCompleteFrom)) {
-      return undefined;
-    }
-    return {
-      kind: 'changes',
-      rows: [...this.#rows.values()].filter((row) => row.version > after),
-      deletedKeys: [
-        ...new Set(this.#deletions.filter((deletion) => deletion.version > after).map(({ key }) => key)),
-      ],
-      newestChange: this.#newestChange,
-      version,
-    };
+    return this.#copy.changesAfter(after);
   }
 
   /**
@@ -356,13 +319,13 @@
       await this.#reloadTable();
       return;
     }
-    if (this.#version === undefined) {
+    if (this.version === undefined) {
       await this.#readFirstCopy(firstCopySource?.() ?? 'store');
       return;
     }
     if (this.#isCatchUpDue) {
       this.#isCatchUpDue = false;
-      await this.#readNeighbour(this.#version);
+      await this.#readNeighbour(this.version);
       return;
     }
     if (this.#source === 'relay' && !this.#isPollDue) {
@@ -374,7 +337,7 @@
     }
     const wait = this.#isPollDue ? 0 : waitMilliseconds(this.#followsChange);
     this.#isPollDue = false;
-    const after = this.#version;
+    const after = this.version;
     this.#waitAbort = new AbortController();
     this.#isPolling = wait === 0;
     let changes: TableChanges;
@@ -386,7 +349,7 @@
     this.#waitAbort = undefined;
     switch (changes.kind) {
       case 'history-lost':
-        this.#logger.log('info', 'table-history-lost', { table, version: this.#version });
+        this.#logger.log('info', 'table-history-lost', { table, version: this.version });
         await this.#readTable();
         return;
       case 'changes': {
@@ -417,56 +380,48 @@
     return isRelevantChange === undefined
       ? rows
       : rows.filter((row) => {
-          const before = this.#rows.get(row.key);
+          const before = this.rows.get(row.key);
           return (before !== undefined && before.version > after) || isRelevantChange(before, row);
         });
   }
 
   async #readFirstCopy(source: FirstCopySource): Promise<void> {
-    switch (source) {
-      case 'undecided':
-        await delay(FIRST_COPY_POLL_MILLISECONDS);
-        return;
-      case 'store':
-        await this.#reloadTable();
-        return;
-      case 'neighbours':
-        await this.#readFirstCopyOfNeighbour();
+    const { table, neighbours } = this.#options;
+    if (source === 'undecided') {
+      await this.#pause(FIRST_COPY_POLL_MILLISECONDS);
+      return;
     }
-  }
-
-  /**
-   * Reads the whole table from another process, or from the store if no other process has it. Load pattern: hundreds of
-   * processes start at the same time, and a few of them read the store. Those may take long, so the store is read only
-   * when all neighbours have been asked twice.
-   */
-  async #readFirstCopyOfNeighbour(): Promise<void> {
-    const result = await this.#readChangesOfNeighbour(0, this.#firstCopyAttempts);
-    this.#firstCopyAttempts += 1;
-    switch (result.kind) {
+    if (source === 'store' || neighbours === undefined) {
+      await this.#reloadTable();
+      return;
+    }
+    this.#firstCopyReader ??= new FirstCopyReader(table, neighbours);
+    const step = await this.#firstCopyReader.readNext();
+    switch (step.kind) {
       case 'changes':
-        this.#deletionsCompleteFrom = result.version;
-        if (!this.#apply(result, 'neighbour')) {
+        if (!this.#apply(step, 'neighbour')) {
           this.#onDidChange.fire();
         }
         return;
-      case 'unavailable':
-      case 'incomplete':
-        await delay(
-          Math.min(
-            FIRST_COPY_RETRY_MILLISECONDS * 2 ** (this.#firstCopyAttempts - 1),
-            MAX_FIRST_COPY_RETRY_MILLISECONDS,
-          ),
-        );
+      case 'read-store':
+        await this.#reloadTable();
         return;
-      case 'use-store':
-        if (this.#haveNeighboursBeenAsked) {
-          await this.#reloadTable();
-        }
-        this.#haveNeighboursBeenAsked = true;
+      case 'retry':
+        await this.#pause(step.afterMilliseconds);
     }
   }
 
+  /** Waits, until something is to be done at once. */
+  #pause(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, milliseconds);
+      this.#wakeUp = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   /** Reads missing changes from another process, or sees to it that they are read from the store. */
   async #readNeighbour(after: number): Promise<void> {
     const attempt = this.#catchUpAttempts;
@@ -493,7 +448,7 @@
     const result = await this.#readChangesOfNeighbour(0, attempt);
     if (result.kind === 'changes') {
       const keys = new Set(result.rows.map(({ key }) => key));
-      const missing = [...this.#rows.values()].filter(
+      const missing = [...this.rows.values()].filter(
         ({ key, version }) => version <= result.version && !keys.has(key),
       );
       this.#apply({ ...result, deletedKeys: missing.map(({ key }) => key) }, 'neighbour');
@@ -510,32 +465,24 @@
     }
   }
 
-  #apply({ version, newestChange, deletedKeys, rows }: ListedChanges, source: CopySource): boolean {
-    if (version < (this.#version ?? 0)) {
-      // The other source has delivered a newer version, in which rows deleted here may have been written again.
+  #apply(changes: ListedChanges, source: CopySource): boolean {
+    if (changes.version < (this.version ?? 0)) {
       return false;
     }
-    this.#recordDeletions(deletedKeys, version);
-    this.#version = Math.max(this.#version ?? 0, version);
+    const isChanged = this.#copy.apply(changes);
     this.#lastSource = source;
-    this.#recordUnchanged(source, version, newestChange);
-    this.#newestChange = Math.max(this.#newestChange, newestChange);
-    if (rows.length === 0 && deletedKeys.length === 0) {
-      return false;
+    this.#recordUnchanged(source, changes.version, changes.newestChange);
+    if (isChanged) {
+      this.#onDidChange.fire();
     }
-    for (const key of deletedKeys) {
-      this.#rows.delete(key);
-    }
-    rows.forEach((row) => {
-      this.#putIfNewer(row);
-    });
-    this.#onDidChange.fire();
-    return true;
+    return isChanged;
   }
 
   /** Reads the whole table. A reload requested while the read is in progress leads to another read. */
   async #reloadTable(): Promise<void> {
     this.#isReloadDue = false;
+    // The whole table is as new as the changes would be.
+    this.#isPollDue = false;
     try {
       await this.#readTable();
     } catch (error) {
@@ -547,21 +494,12 @@
   async #readTable(): Promise<void> {
     const snapshot = await this.#store.readTable(this.#options.table);
     this.#confirmedAt = performance.now();
-    const keys = new Set(snapshot.rows.map(({ key }) => key));
-    const deletedKeys = [...this.#rows.keys()].filter((known) => !keys.has(known));
-    for (const key of deletedKeys) {
-      this.#rows.delete(key);
-    }
-    if (this.#version === undefined) {
-      this.#deletionsCompleteFrom = snapshot.version;
+    if (!this.#copy.applySnapshot(snapshot)) {
+      this.#isReloadDue = true;
+      return;
     }
-    this.#recordDeletions(deletedKeys, snapshot.version);
-    snapshot.rows.forEach((row) => {
-      this.#putIfNewer(row);
-    });
-    this.#version = Math.max(this.#version ?? 0, snapshot.version);
     this.#lastSource = 'store';
-    this.#unchangedSince = this.#version;
+    this.#unchangedSince = this.version ?? 0;
     this.#fullReadCount += 1;
     this.#onDidChange.fire();
   }
@@ -578,18 +516,4 @@
         this.#unchangedSince = Math.max(this.#unchangedSince, version);
     }
   }
-
-  #recordDeletions(keys: readonly string[], version: number): void {
-    this.#deletions.push(...keys.map((key) => ({ key, version })));
-    for (const { version: forgotten } of this.#deletions.splice(0, this.#deletions.length - MAX_DELETIONS)) {
-      this.#deletionsCompleteFrom = Math.max(this.#deletionsCompleteFrom, forgotten);
-    }
-  }
-
-  #putIfNewer(row: StoredRow): void {
-    if (row.version >= (this.#rows.get(row.key)?.version ?? 0)) {
-      this.#rows.set(row.key, row);
-      this.#newestChange = Math.max(this.#newestChange, row.version);
-    }
-  }
 }
