Ignore announcements of a server's former incarnation

Cause: the registry applied every row with another version, and kept a statement only for a row with the same start time, so that an older row ended it like a newer one.

The start time now decides which of two announcements is the newer one (`ServerIncarnations`): an older one is logged and ignored, also for a minute after the newer one is gone. Statements, the assigner and the slots read the registry and need no rule of their own.

--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -4,6 +4,7 @@
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { AnnouncedWarmups } from './announcedWarmups.js';
+import { ServerIncarnations } from './serverIncarnations.js';
 
 /**
  * For this long after an outage of the store, absent servers are retained. Servers whose announcement expired
@@ -58,6 +59,7 @@
   readonly #versions = new Map<string, number>();
   #retainsAbsentServers = false;
   readonly #warmups = new AnnouncedWarmups();
+  readonly #incarnations = new ServerIncarnations();
   /** When servers began to leave or became absent, by ID. */
   readonly #leavingSince = new Map<string, number>();
   /** Incarnations of servers that stated in a response that they are leaving, by ID. */
@@ -143,6 +145,7 @@
         this.#servers.delete(id);
         this.#versions.delete(id);
         this.#warmups.delete(id);
+        this.#incarnations.recordRemoval(id, performance.now());
         this.#recordLeaving(id);
         this.#logger.log('info', 'server-missing', { server: id });
         isChanged = true;
@@ -185,6 +188,11 @@
       }
       return false;
     }
+    if (!this.#incarnations.record(id, record.incarnation)) {
+      const { incarnation } = record;
+      this.#logger.log('info', 'server-announcement-outdated', { server: id, incarnation });
+      return false;
+    }
     const isExtended = this.#warmups.record(record, performance.now());
     if (isSameAnnouncement(this.#servers.get(id), record) && !isExtended) {
       return false;
--- a/packages/entryVm/src/common/test/serverRegistry.test.ts
+++ b/packages/entryVm/src/common/test/serverRegistry.test.ts
@@ -105,4 +105,35 @@
       return Promise.resolve();
     });
   });
+
+  describe('when the store performs a write of a former incarnation late', () => {
+    const rowOf = (incarnation: number, version: number): ReadonlyMap<string, StoredRow> =>
+      new Map([['a', { table: 'servers', key: 'a', value: incarnation.toString(), version }]]);
+
+    it('keeps what the present incarnation stated and announced', async () => {
+      await withRegistry(async (registry, health) => {
+        health.recordSuccess();
+        registry.update(rowOf(10, 1));
+        registry.update(rowOf(20, 2));
+        registry.recordStatedLeaving('a', 20);
+        registry.update(rowOf(10, 3));
+        await Promise.resolve();
+        assert.is(registry.servers.get('a')?.incarnation, 20);
+        assert.is(registry.servers.get('a')?.phase, 'leaving');
+      });
+    });
+
+    it('does not bring back a server that has left', async () => {
+      await withRegistry(async (registry, health, clock) => {
+        health.recordSuccess();
+        registry.update(rowOf(20, 1));
+        await clock.tickAsync(10_000);
+        registry.update(new Map());
+        registry.update(rowOf(10, 2));
+        assert.is(registry.servers.get('a'), undefined);
+        registry.update(rowOf(30, 3));
+        assert.is(registry.servers.get('a')?.incarnation, 30);
+      });
+    });
+  });
 });
