Keep the load and the warm-up of a server in messages between entry VMs

The compact form of a message that ends an attempt carried only the rate that the server had stated: two lines of work met in the merge, and the coordinator did not get to know the load and the warm-up of servers whose requests other entry VMs send. The property test draws these fields now; it failed before ("finish").

--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -137,7 +137,7 @@
     codecs: {
       id: slotRequestId,
       use: oneOf(['answered', 'failed', 'refused', 'unreachable', 'silent', 'cancelled']),
-      statements: record(['requestsPerSecond']),
+      statements: record(['requestsPerSecond', 'load', 'warmup']),
     },
   },
   {
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -74,7 +74,10 @@
     {
       id: requestId,
       use: fc.constantFrom('answered', 'failed', 'refused', 'unreachable', 'silent', 'cancelled'),
-      statements: fc.record({ requestsPerSecond: number }, { requiredKeys: [], noNullPrototype: true }),
+      statements: fc.record(
+        { requestsPerSecond: number, load: fc.tuple(number, number, number, number), warmup: number },
+        { requiredKeys: [], noNullPrototype: true },
+      ),
     },
     { requiredKeys: ['id', 'use'], noNullPrototype: true },
   ),
