Count crashes by one request over all entry VMs

Cause: each entry VM counted for itself, and counted a server that started again under its ID once.

Entry VMs now tell each other of the requests on which servers lost their connection, by a fingerprint, and count server incarnations. A response at any entry VM clears a request at all that know of it: a popular look-up that was in flight at two servers that failed is not refused.

The product's own interface shares its suspects through the assigner already (`refusedFingerprints`).

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -399,7 +399,7 @@
         };
       case 'lost': {
         if (result.reason === 'connection-lost' && !request.signal.aborted) {
-          this.#crashDetector.recordLoss(request, server.id);
+          this.#crashDetector.recordLoss(request, server);
         }
         const outcome: RequestOutcome = { kind: 'unknown', reason: result.reason };
         const canRetry = request.route.kind === 'idempotent' && !request.signal.aborted;
--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -190,6 +190,7 @@
       case 'table-changes':
       case 'assignment-change':
       case 'server-leaving':
+      case 'crash-evidence':
         return false;
     }
   }
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -242,6 +242,7 @@
       case 'server-leaving':
         this.#options.serverRegistry.recordStatedLeaving(message.serverId, message.serverIncarnation);
         return;
+      case 'crash-evidence':
       case 'reader-heartbeat':
       case 'table-changes':
       case 'ask':
--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -178,6 +178,11 @@
     senderFields: ['id', 'incarnation'],
     codecs: {},
   },
+  {
+    type: 'crash-evidence',
+    fields: ['lost', 'answered'],
+    codecs: { lost: absentIfEmpty, answered: absentIfEmpty },
+  },
 ];
 
 /** Encodes a message between entry VMs as an array in MessagePack; absent fields at the end are left out. */
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -101,6 +101,13 @@
     serverId: z.string(),
     serverIncarnation: z.number(),
   }),
+  z.object({
+    type: z.literal('crash-evidence'),
+    /** Fingerprints of requests, each with a server incarnation that lost its connection on it. */
+    lost: z.array(z.tuple([z.string(), z.string()])).default([]),
+    /** Fingerprints of requests that got a response after all. */
+    answered: z.array(z.string()).default([]),
+  }),
   z.object({
     type: z.literal('assignment-change'),
     service: z.string(),
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -217,6 +217,7 @@
       case 'report':
       case 'assignment-change':
       case 'server-leaving':
+      case 'crash-evidence':
         return false;
     }
   }
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -115,6 +115,13 @@
     },
     { noNullPrototype: true },
   ),
+  'crash-evidence': fc.record(
+    {
+      lost: fc.array(fc.tuple(text, text), { maxLength: 4 }),
+      answered: fc.array(text, { maxLength: 4 }),
+    },
+    { noNullPrototype: true },
+  ),
   'server-leaving': fc.record({ serverId: text, serverIncarnation: number }, { noNullPrototype: true }),
   'assignment-change': fc.record(
     {
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -87,6 +87,7 @@
   readonly #keyOwnership: KeyOwnershipController;
   readonly #callerServer: CallerServer;
   readonly #connections: ServerConnectionPool;
+  readonly #crashDetector = new CrashingRequestDetector();
   readonly #bytes: ByteAccount;
   readonly #responseSizes = new ResponseSizes();
   readonly #crossingCost = new CrossingCost(this.#responseSizes, () => this.#entryVmRegistry.entryVms());
@@ -197,9 +198,7 @@
         logger,
       }),
     );
-    const sendToOthers = (message: PeerMessage): void => {
-      this.#peerSocket.sendToAll(this.#entryVmRegistry.otherAddresses(), message);
-    };
+    const sendToOthers = this.#sendToOthers.bind(this);
     this.#keyOwnership = this.register(
       new KeyOwnershipController({
         self,
@@ -239,7 +238,7 @@
         logger,
       ),
       new RetryBudget(settings.retryBudget, () => this.#entryVmRegistry.entryVms().length),
-      new CrashingRequestDetector(),
+      this.#crashDetector,
       logger,
     );
     const memory = new MemoryBudget(settings.maxHeldBodyBytes);
@@ -370,6 +369,9 @@
         if (ipAddress !== undefined && !this.#slots.receive(ipAddress, message)) {
           this.#keyOwnership.receive(message);
         }
+        if (message.type === 'crash-evidence') {
+          this.#crashDetector.recordEvidence(message);
+        }
       }),
     );
     this.register(
@@ -411,11 +413,31 @@
     return this.metrics.render();
   }
 
+  #sendToOthers(message: PeerMessage): void {
+    this.#peerSocket.sendToAll(this.#entryVmRegistry.otherAddresses(), message);
+  }
+
+  #shareCrashEvidence(): void {
+    const evidence = this.#crashDetector.takeEvidence();
+    if (evidence !== undefined) {
+      this.#sendToOthers({
+        type: 'crash-evidence',
+        lost: evidence.lost.map(([fingerprint, server]) => [fingerprint, server]),
+        answered: [...evidence.answered],
+      });
+      this.#logger.log('info', 'crash-evidence-shared', {
+        lost: evidence.lost.length,
+        answered: evidence.answered.length,
+      });
+    }
+  }
+
   #tick(): void {
     const now = performance.now();
     const lateness = Math.max(0, now - this.#tickDueAt);
     this.#tickDueAt = now + TICK_MILLISECONDS;
     this.metrics.recordMilliseconds('hickoryhoist_event_loop_delay_milliseconds', {}, lateness);
+    this.#shareCrashEvidence();
     if (this.#serverRegistry.retainsAbsentServers && this.#serverRegistry.isAbsenceReliable) {
       this.#serverRegistry.update(this.#serverRows.rows);
     }
