--- a/packages/entryVm/src/common/zoneEvacuations.ts
+++ b/packages/entryVm/src/common/zoneEvacuations.ts
@@ -16,6 +16,8 @@
 interface Evacuation {
   readonly startedAt: number;
   phase: EvacuationPhase;
+  /** Whether it was checked that the zone is known. */
+  isChecked: boolean;
 }
 
 /**
@@ -81,11 +83,8 @@
       this.#endedAt.delete(zone);
       // Evacuations in the first copy of the table may be old.
       const phase = this.#hasRows ? 'emptying' : 'closed';
-      this.#evacuations.set(zone, { startedAt: now, phase });
+      this.#evacuations.set(zone, { startedAt: now, phase, isChecked: false });
       this.#logger.log('info', 'evacuation-started', { zone, phase });
-      if (!this.#isKnownZone(zone)) {
-        this.#logger.log('warn', 'evacuation-zone-unknown', { zone });
-      }
     }
     this.#hasRows = true;
     if (ended.length + started.length > 0) {
@@ -95,6 +94,7 @@
 
   /** Closes zones that have been emptying for long enough. Called several times a second. */
   tick(now: number): void {
+    this.#checkZones(now);
     const due = [...this.#evacuations].filter(
       ([, { phase, startedAt }]) => phase === 'emptying' && now - startedAt >= EMPTYING_MILLISECONDS,
     );
@@ -107,6 +107,18 @@
     }
   }
 
+  /** Logs zones that nobody knows, once the tables of a process that has just started are complete. */
+  #checkZones(now: number): void {
+    for (const [zone, evacuation] of this.#evacuations) {
+      if (!evacuation.isChecked && now - evacuation.startedAt >= EMPTYING_MILLISECONDS) {
+        evacuation.isChecked = true;
+        if (!this.#isKnownZone(zone)) {
+          this.#logger.log('warn', 'evacuation-zone-unknown', { zone });
+        }
+      }
+    }
+  }
+
   #readZones(rows: ReadonlyMap<string, StoredRow>): ReadonlySet<string> {
     const zones = new Set<string>();
     for (const [key, row] of rows) {
