--- a/packages/keyOwnership/src/common/test/keyPlanner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyPlanner.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { LAST_KEY, type OwnedRange } from '../keyAssignment.js';
 import { type KeyTraffic, type CandidateServer, planUnownedKeys, planMoves } from '../keyPlanner.js';
+import { countKeysIn } from '../sortedKeys.js';
 
 const SEED = 7;
 const TRAFFIC_SECONDS = 2;
@@ -202,3 +203,44 @@
     assert.ok(pieces.length <= 60, `${pieces.length.toString()} ranges`);
   });
 });
+
+describe('the planning of keys for cold servers', () => {
+  const isCold = (index: number): boolean => index % 3 === 0;
+  const maxReceivedRequestsPerSecond = 2;
+  const servers = createServers(18).map((server, index) =>
+    isCold(index) ? { ...server, maxReceivedRequestsPerSecond } : server,
+  );
+  const coldIds = servers.filter((_, index) => isCold(index)).map(({ id }) => id);
+  const requestsOf = (ranges: readonly OwnedRange[], id: string, { sortedKeys }: KeyTraffic): number =>
+    ranges
+      .filter(({ ownerId }) => ownerId === id)
+      .reduce((sum, { from, to }) => sum + countKeysIn(sortedKeys, from, to), 0);
+
+  it('gives a third of the servers that return at once no more than they bear, and all of them something', () => {
+    const traffic = hotSpotTraffic(90, 0.2, 30_000, 2_000);
+    const warm = servers.filter((_, index) => !isCold(index));
+    const ranges = afterMoves(evenRanges(warm), servers, traffic);
+    for (const id of coldIds) {
+      const requests = requestsOf(ranges, id, traffic);
+      assert.ok(requests >= 2, `${id} got ${requests.toString()} requests`);
+      assert.ok(requests <= maxReceivedRequestsPerSecond * TRAFFIC_SECONDS, `${id} ${requests.toString()}`);
+    }
+  });
+
+  it('gives them a smaller part of the keys of failed servers', () => {
+    const [failed, ...others] = servers;
+    const owned = evenRanges(servers.filter((_, index) => !isCold(index)));
+    const lost = owned[0]?.ownerId;
+    const kept = owned.filter(({ ownerId }) => ownerId !== lost);
+    const candidates = others.filter(({ id }) => id !== lost && id !== failed?.id);
+    const pieces = planUnownedKeys(kept, candidates);
+    const cold = pieces.filter(({ owner }) => coldIds.includes(owner.id));
+    assert.ok(cold.length > 0);
+    for (const { from, to } of cold) {
+      // A full server's even share of all keys is LAST_KEY / 12.
+      assert.ok(
+        to - from + 1 <= (LAST_KEY / 12) * (maxReceivedRequestsPerSecond / REQUESTS_PER_SECOND) * 1.2,
+      );
+    }
+  });
+});
