--- a/packages/dispatch/src/common/schedulableServers.ts
+++ b/packages/dispatch/src/common/schedulableServers.ts
@@ -1,6 +1,6 @@
 import type { ColdStartBudget } from './coldStartLimit.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
-import type { PaceChange } from './serverPace.js';
+import type { PaceChange, PaceFactory } from './serverPace.js';
 import { ServerStatistics } from './serverStatistics.js';
 import type { SlotRequest } from './slotRequest.js';
 
@@ -29,8 +29,11 @@
   >();
   readonly #onDidChangePace: (change: ServerPaceChange) => void;
 
-  constructor(onDidChangePace: (change: ServerPaceChange) => void) {
+  readonly #createPace: PaceFactory;
+
+  constructor(onDidChangePace: (change: ServerPaceChange) => void, createPace: PaceFactory) {
     this.#onDidChangePace = onDidChangePace;
+    this.#createPace = createPace;
   }
 
   get(id: string | undefined): ServerStatistics | undefined {
@@ -67,9 +70,10 @@
         known.statistics.extendWarmup(server.warmupMilliseconds, now);
       } else {
         const { id, incarnation, warmupMilliseconds } = server;
-        const statistics = new ServerStatistics(server, initialMilliseconds, now, (change) => {
+        const pace = this.#createPace(server.slots, (change) => {
           this.#onDidChangePace({ ...change, serverId: id });
         });
+        const statistics = new ServerStatistics(server, initialMilliseconds, now, pace);
         this.#servers.set(id, { statistics, incarnation });
         if (known !== undefined || (isRunning && warmupMilliseconds > 0)) {
           statistics.startSlowly(now);
--- a/packages/dispatch/src/common/serverPace.ts
+++ b/packages/dispatch/src/common/serverPace.ts
@@ -24,7 +24,33 @@
   readonly peerMilliseconds: number | undefined;
 }
 
+/** Limits the requests that one server may have in flight. */
+export interface RequestPace {
+  /** Requests that the server may have in flight; undefined if the pace does not limit them. */
+  readonly limit: number | undefined;
+  /** Limits the server because it has started or is ejected. Attempts in flight no longer count. */
+  restart(reason: 'started' | 'ejected', now: number): void;
+  /** Number of requests that may start now. */
+  available(now: number): number;
+  /** Counts a request that starts. */
+  begin(attemptId: string, now: number): void;
+  /**
+   * Records an answer.
+   * @param milliseconds processing time; undefined if the server did not start to process the request.
+   * @param peerMilliseconds average processing time of the service.
+   */
+  recordAnswer(attemptId: string, milliseconds: number | undefined, peerMilliseconds: number): void;
+  /** Records a refusal or failure. */
+  recordFailure(attemptId: string): void;
+  /** Removes an attempt that says nothing about the server. */
+  cancel(attemptId: string): void;
+}
+
+export type PaceFactory = (slots: number, onDidChange: (change: PaceChange) => void) => RequestPace;
+
 /** Factor on the processing time of the peers up to which a server counts as fast as they are. */
+const FAST_FACTOR = 1.3;
+/** Factor beyond which a server is not given all its slots. */
 const TOLERATED_FACTOR = 2;
 /** Weight of a new answer in the processing time of a limited server. */
 const SMOOTHING = 0.3;
@@ -41,11 +67,11 @@
  * How many requests a server that has just started or recovered may have in flight. Load patterns: a fleet meets one cold
  * server; half of a service comes back at once; a server that is up and down by turns; a server that is only slow.
  *
- * It starts with one. Each good answer admits one more, which doubles the number with each round of answers; a failure
- * halves it. An answer that takes longer than `TOLERATED_FACTOR` times those of the peers leaves the server its share: the
- * slots divided by how much longer. The limit ends when all slots are admitted.
+ * It starts with one. While the server is as fast as its peers, each answer admits one more, which doubles the number with
+ * each round of answers; while it is slower, each round admits one more; a failure halves the number. A server slower than
+ * its peers by more than `TOLERATED_FACTOR` keeps its share: the slots divided by how much slower it is. The limit ends when all slots are admitted.
  */
-export class ServerPace {
+export class ServerPace implements RequestPace {
   readonly #slots: number;
   readonly #onDidChange: (change: PaceChange) => void;
   #limit: number | undefined;
@@ -61,7 +87,6 @@
     this.#onDidChange = onDidChange;
   }
 
-  /** Requests that the server may have in flight; undefined if the pace does not limit them. */
   get limit(): number | undefined {
     return this.#limit === undefined ? undefined : Math.floor(this.#limit);
   }
@@ -80,7 +105,6 @@
     }
   }
 
-  /** Number of requests that may start now. */
   available(now: number): number {
     if (this.#limit === undefined) {
       return Number.POSITIVE_INFINITY;
@@ -98,7 +122,6 @@
     return Math.max(0, Math.floor(this.#limit) - waiting);
   }
 
-  /** Counts a request that starts. */
   begin(attemptId: string, now: number): void {
     if (this.#limit !== undefined) {
       this.#attempts.set(attemptId, now);
@@ -111,11 +134,6 @@
     }
   }
 
-  /**
-   * Records an answer.
-   * @param milliseconds processing time; undefined if the server did not start to process the request.
-   * @param peerMilliseconds average processing time of the service.
-   */
   recordAnswer(attemptId: string, milliseconds: number | undefined, peerMilliseconds: number): void {
     if (!this.#attempts.delete(attemptId) || this.#limit === undefined) {
       return;
@@ -124,20 +142,22 @@
       milliseconds === undefined || this.#milliseconds === undefined
         ? (this.#milliseconds ?? milliseconds)
         : this.#milliseconds + SMOOTHING * (milliseconds - this.#milliseconds);
-    const relative = (this.#milliseconds ?? peerMilliseconds) / (TOLERATED_FACTOR * peerMilliseconds);
-    const isSlow = relative > 1;
-    const share = Math.max(1, this.#slots / Math.max(1, relative));
-    this.#setLimit(Math.min(share, this.#limit + 1), isSlow ? 'slow' : 'answered', peerMilliseconds);
+    const slowness = (this.#milliseconds ?? peerMilliseconds) / peerMilliseconds;
+    const share = Math.max(1, (this.#slots * TOLERATED_FACTOR) / Math.max(TOLERATED_FACTOR, slowness));
+    const grown = this.#limit + (slowness > FAST_FACTOR ? 1 / this.#limit : 1);
+    this.#setLimit(
+      Math.min(share, grown),
+      slowness > TOLERATED_FACTOR ? 'slow' : 'answered',
+      peerMilliseconds,
+    );
   }
 
-  /** Records a refusal or failure. */
   recordFailure(attemptId: string): void {
     if (this.#attempts.delete(attemptId) && this.#limit !== undefined) {
       this.#setLimit(Math.max(1, this.#limit / 2), 'failed');
     }
   }
 
-  /** Removes an attempt that says nothing about the server. */
   cancel(attemptId: string): void {
     this.#attempts.delete(attemptId);
   }
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -1,7 +1,7 @@
 import { ColdStartLimit } from './coldStartLimit.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import type { SchedulableServer } from './schedulableServers.js';
-import { type PaceChange, ServerPace } from './serverPace.js';
+import type { RequestPace } from './serverPace.js';
 import { ServerRateLimit } from './serverRateLimit.js';
 import type { RateStatement } from './serverStatements.js';
 import { StatedLoadEstimate } from './statedLoadEstimate.js';
@@ -60,25 +60,20 @@
   readonly #rateLimit = new ServerRateLimit();
 
   readonly #coldStart: ColdStartLimit;
-  readonly #pace: ServerPace;
+  readonly #pace: RequestPace;
   readonly #statedLoad = new StatedLoadEstimate();
 
   /**
    * @param initialMilliseconds processing time assumed before the first sample.
-   * @param onDidChangePace called when the number of requests changes that the server may have in flight.
+   * @param pace limits the requests in flight after a start or an ejection.
    */
-  constructor(
-    server: SchedulableServer,
-    initialMilliseconds: number,
-    now: number,
-    onDidChangePace: (change: PaceChange) => void,
-  ) {
+  constructor(server: SchedulableServer, initialMilliseconds: number, now: number, pace: RequestPace) {
     this.id = server.id;
     this.availabilityZone = server.availabilityZone;
     this.slots = server.slots;
     this.#smoothedMilliseconds = initialMilliseconds;
     this.#coldStart = new ColdStartLimit(server.coldStart);
-    this.#pace = new ServerPace(server.slots, onDidChangePace);
+    this.#pace = pace;
     this.extendWarmup(server.warmupMilliseconds, now);
   }
 
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -2,6 +2,7 @@
 import { ReturnSchedule } from './returnSchedule.js';
 import { hasCapacity, placementCost } from './serverPlacement.js';
 import { type SchedulableServer, SchedulableServers, type ServerPaceChange } from './schedulableServers.js';
+import { type PaceFactory, ServerPace } from './serverPace.js';
 import type { AttemptOutcome, ServerStatistics } from './serverStatistics.js';
 import {
   addServer,
@@ -84,8 +85,11 @@
   #averageMilliseconds = INITIAL_PROCESSING_MILLISECONDS;
 
   /** @param onDidChangePace called when the number of requests changes that a server may have in flight. */
-  constructor(onDidChangePace: (change: ServerPaceChange) => void = () => undefined) {
-    this.#servers = new SchedulableServers(onDidChangePace);
+  constructor(
+    onDidChangePace: (change: ServerPaceChange) => void = () => undefined,
+    createPace: PaceFactory = (slots, onDidChange) => new ServerPace(slots, onDidChange),
+  ) {
+    this.#servers = new SchedulableServers(onDidChangePace, createPace);
   }
 
   /** Number of queued slot requests. */
