--- a/packages/dispatch/src/common/test/serverPlacement.test.ts
+++ b/packages/dispatch/src/common/test/serverPlacement.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { costlyBytes, placementCost } from '../serverPlacement.js';
+import { ServerPace } from '../serverPace.js';
 import { ServerStatistics } from '../serverStatistics.js';
 import { SlotScheduler } from '../slotScheduler.js';
 import type { SlotRequest } from '../slotRequest.js';
@@ -91,7 +92,7 @@
         { id, incarnation: 1, availabilityZone, slots: SLOTS, warmupMilliseconds: 0 },
         milliseconds,
         0,
-        () => undefined,
+        new ServerPace(SLOTS, () => undefined),
       );
     const near = statisticsOf('near', 'zone-1', 200);
     const far = statisticsOf('far', 'zone-2', 100);
