--- a/packages/entryVm/src/common/byteAccount.ts
+++ b/packages/entryVm/src/common/byteAccount.ts
@@ -2,10 +2,12 @@
 
 /** What bytes are sent or received for. */
 export type ByteKind =
-  /** Heads and bodies of requests to servers. */
-  | 'request'
-  /** Heads and bodies of responses of servers. */
-  | 'response'
+  /** Heads and bodies of requests to owners of keys, and to servers of which any may run the request. */
+  | 'keyed-request'
+  | 'pooled-request'
+  /** Heads and bodies of their responses. */
+  | 'keyed-response'
+  | 'pooled-response'
   /** Commands to servers about the keys that they own, and their responses. */
   | 'grant'
   /** Copies of tables that are read from another entry VM. */
--- a/packages/entryVm/src/common/countedServerTransport.ts
+++ b/packages/entryVm/src/common/countedServerTransport.ts
@@ -18,32 +18,44 @@
 /** A command about keys with its response, without a handover. */
 const COMMAND_BYTES = 450;
 
+/** What the account distinguishes servers by. */
+export interface ServerLocation {
+  readonly availabilityZone: string;
+  /** Whether the server owns keys, so that its requests can go to no other one. */
+  readonly isKeyed: boolean;
+}
+
 /** Counts the bytes of the calls of another transport. Heads are counted without their encoding on the connection. */
 export class CountedServerTransport implements ServerTransport {
   readonly #transport: ServerTransport;
   readonly #account: ByteAccount;
-  readonly #zoneOf: (serverId: string) => string | undefined;
+  readonly #locate: (serverId: string) => ServerLocation | undefined;
 
-  /** @param zoneOf availability zone of a server. */
   constructor(
     transport: ServerTransport,
     account: ByteAccount,
-    zoneOf: (serverId: string) => string | undefined,
+    locate: (serverId: string) => ServerLocation | undefined,
   ) {
     this.#transport = transport;
     this.#account = account;
-    this.#zoneOf = zoneOf;
+    this.#locate = locate;
   }
 
   async call(call: ServerCall): Promise<ServerCallResult> {
-    const zone = this.#zoneOf(call.serverId);
+    const location = this.#locate(call.serverId);
+    const zone = location?.availabilityZone;
+    const prefix = location?.isKeyed === true ? 'keyed' : 'pooled';
     const result = await this.#transport.call(call);
     if (result.kind !== 'not-written') {
       const head = REQUEST_LINE_BYTES + call.target.length + ADDED_HEADER_BYTES + bytesOf(call.headers);
-      this.#account.add('request', zone, head + call.body.length);
+      this.#account.add(`${prefix}-request`, zone, head + call.body.length);
     }
     if (result.kind === 'answered') {
-      this.#account.add('response', zone, STATUS_LINE_BYTES + bytesOf(result.headers) + result.body.length);
+      this.#account.add(
+        `${prefix}-response`,
+        zone,
+        STATUS_LINE_BYTES + bytesOf(result.headers) + result.body.length,
+      );
     }
     return result;
   }
@@ -53,10 +65,10 @@
 export function countGrants(
   client: KeyGrantClient,
   account: ByteAccount,
-  zoneOf: (serverId: string) => string | undefined,
+  locate: (serverId: string) => ServerLocation | undefined,
 ): KeyGrantClient {
   const count = (serverId: string, handover: string | undefined): void => {
-    account.add('grant', zoneOf(serverId), COMMAND_BYTES + (handover?.length ?? 0));
+    account.add('grant', locate(serverId)?.availabilityZone, COMMAND_BYTES + (handover?.length ?? 0));
   };
   return {
     grant: async (target, grant, timeoutMilliseconds, mayStillSend) => {
--- a/packages/entryVm/src/common/test/byteAccount.test.ts
+++ b/packages/entryVm/src/common/test/byteAccount.test.ts
@@ -49,14 +49,14 @@
       const transport = new CountedServerTransport(
         { call: () => Promise.resolve(result) },
         account,
-        (serverId) => (serverId === 'far' ? 'zone-2' : undefined),
+        (serverId) => (serverId === 'far' ? { availabilityZone: 'zone-2', isKeyed: true } : undefined),
       );
       assert.is(await transport.call(call('far')), result);
       const counted = account.totals().map(({ kind, relation, bytes }) => {
         assert.ok(bytes > BODY_BYTES && bytes < BODY_BYTES + 1_000, bytes.toString());
         return `${kind} ${relation}`;
       });
-      const expected = ['request other-zone', 'response other-zone'].slice(0, 2 - index);
+      const expected = ['keyed-request other-zone', 'keyed-response other-zone'].slice(0, 2 - index);
       assert.equal(counted, expected);
     }
   });
--- a/packages/entryVm/src/common/test/datagramQueue.test.ts
+++ b/packages/entryVm/src/common/test/datagramQueue.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { DatagramQueue, type QueuedDatagram } from '../datagramQueue.js';
@@ -58,6 +59,47 @@
       }
     });
 
+    it('are sent twice, the second time within 100 ms', () => {
+      fc.assert(
+        fc.property(
+          fc.array(fc.record({ at: fc.nat(1_000), to: fc.constantFrom('a', 'b'), isTwice: fc.boolean() })),
+          (sends) => {
+            const queue = new DatagramQueue();
+            const times = new Map<string, number[]>();
+            const record = (datagrams: readonly QueuedDatagram[], now: number): void => {
+              for (const { bytes } of datagrams.flatMap(({ messages }) => messages)) {
+                const name = Buffer.from(bytes).toString();
+                times.set(name, [...(times.get(name) ?? []), now]);
+              }
+            };
+            for (let now = 0; now <= 1_200; now += 1) {
+              for (const [index, { to, isTwice }] of [...sends.entries()].filter(
+                ([, { at }]) => at === now,
+              )) {
+                if (isTwice) {
+                  queue.addWithDuplicate(to, message(`twice-${index.toString()}`), now);
+                } else {
+                  queue.add(to, message(`once-${index.toString()}`));
+                }
+              }
+              record(queue.take(now), now);
+              if (now % 90 === 0) {
+                record(queue.takeDuplicates(now), now);
+              }
+            }
+            for (const [index, { at, isTwice }] of sends.entries()) {
+              const [first, second, ...more] =
+                times.get(`${isTwice ? 'twice' : 'once'}-${index.toString()}`) ?? [];
+              assert.is(first, at);
+              assert.equal(more, []);
+              assert.ok(isTwice ? second !== undefined && second <= at + 100 : second === undefined);
+            }
+          },
+        ),
+        { seed: 1, numRuns: 100 },
+      );
+    });
+
     it('take the duplicate along with the next datagram, but not with one of the same moment', () => {
       const queue = new DatagramQueue();
       queue.addWithDuplicate('a', message('1'), 0);
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -17,7 +17,11 @@
 import { TableWatcher, type TableWatcherOptions } from '@hickoryhoist/store/common/tableWatcher.js';
 import { ByteAccount } from '../common/byteAccount.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
-import { CountedServerTransport, countGrants } from '../common/countedServerTransport.js';
+import {
+  CountedServerTransport,
+  countGrants,
+  type ServerLocation,
+} from '../common/countedServerTransport.js';
 import { CrossingCost } from '../common/crossingCost.js';
 import { EntryVmMetrics } from '../common/entryVmMetrics.js';
 import { EntryVmRoutingView } from '../common/entryVmRoutingView.js';
@@ -95,8 +99,15 @@
     const { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond } = settings;
     const incarnation = randomUUID().slice(0, 8);
     this.#bytes = new ByteAccount(availabilityZone);
-    const zoneOfServer = (serverId: string): string | undefined =>
-      this.#serverRegistry.servers.get(serverId)?.availabilityZone;
+    const locate = (serverId: string): ServerLocation | undefined => {
+      const server = this.#serverRegistry.servers.get(serverId);
+      return (
+        server && {
+          availabilityZone: server.availabilityZone,
+          isKeyed: this.#services().get(server.service)?.kind === 'keyed',
+        }
+      );
+    };
     const self = { id, ipAddress, availabilityZone, processorCores, linkMegabitsPerSecond, incarnation };
     this.#health = new StoreHealth(logger);
     const store = observeRowStore(binding.store, this.#health, (kind, outcome) => {
@@ -182,7 +193,7 @@
       new KeyOwnershipController({
         self,
         store,
-        grantClient: countGrants(binding.grantClient, this.#bytes, zoneOfServer),
+        grantClient: countGrants(binding.grantClient, this.#bytes, locate),
         controlRows: this.#controlRows,
         tables: this.#tables,
         health: this.#health,
@@ -203,7 +214,7 @@
     const dispatcher = new RequestDispatcher(
       settings.availabilityZone,
       this.#slots,
-      new CountedServerTransport(this.#connections, this.#bytes, zoneOfServer),
+      new CountedServerTransport(this.#connections, this.#bytes, locate),
       new EntryVmRoutingView(
         this.#serverRegistry,
         this.#keyOwnership,
