Compress large messages between entry VMs

Relayed rows, changes of owners and reports with many keys go to all entry VMs, so their share of the bytes between zones grows with the square of the fleet: 86 bytes a request on 14 entry VMs, before this change. Messages from 256 bytes on are now deflated, once for all receivers; the receiver limits what it unpacks to 64 KB and ignores the datagram otherwise.

Ruled out: one copy into each zone that is relayed inside. It would cost fewer bytes, but a receiver would depend on two more processes for changes that must be known in time. Also ruled out: a preset dictionary, which would put the platform's names into the packages.

--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Decoder, Encoder } from '@msgpack/msgpack';
 
 /** A message in its compact form: its code, and the values of its fields in a fixed order. */
@@ -10,6 +11,13 @@
 const encoder = new Encoder();
 const decoder = new Decoder();
 
+/** Size from which messages are compressed, in bytes: those with rows of tables, changes of owners, and many keys. */
+const MIN_COMPRESSED_BYTES = 256;
+/** Limit for a message once it is decompressed, in bytes. */
+const MAX_DECOMPRESSED_BYTES = 65_536;
+/** The window covers a message; both ends allocate little for it. */
+const COMPRESSION = { windowBits: 13, memLevel: 5 };
+
 const HEXADECIMAL = 16;
 const INCARNATION_DIGITS = 8;
 const INCARNATION_PATTERN = /^[0-9a-f]{8}$/;
@@ -180,7 +188,10 @@
   },
 ];
 
-/** Encodes a message between entry VMs as an array in MessagePack; absent fields at the end are left out. */
+/**
+ * Encodes a message between entry VMs as an array in MessagePack; absent fields at the end are left out. A large message
+ * is a byte string with the compressed array.
+ */
 export function encodeCompact(message: UncheckedMessage, sender: DatagramSender): Uint8Array {
   const code = LAYOUTS.findIndex(({ type }) => type === message.type);
   const layout = LAYOUTS[code];
@@ -192,7 +203,22 @@
     fields[name] = fields[name] === sender[name] ? undefined : fields[name];
   }
   const coded = layout.fields.map((name) => codecOf(layout, name).encode(fields[name]));
-  return encoder.encode([code, ...withoutAbsentEnd(coded)]);
+  return compressed(encoder.encode([code, ...withoutAbsentEnd(coded)]));
+}
+
+function compressed(message: Uint8Array): Uint8Array {
+  if (message.length < MIN_COMPRESSED_BYTES) {
+    return message;
+  }
+  const bytes = encoder.encode(deflateRawSync(message, COMPRESSION));
+  return bytes.length < message.length ? bytes : message;
+}
+
+/** @throws an error of the decoder, or of the decompression for bytes that are too many or damaged. */
+function decompressed(message: unknown): unknown {
+  return message instanceof Uint8Array
+    ? decoder.decode(inflateRawSync(message, { maxOutputLength: MAX_DECOMPRESSED_BYTES }))
+    : message;
 }
 
 /** @returns the fields of a message, not checked; undefined if it has no known layout. */
@@ -248,9 +274,12 @@
   return {
     from,
     incarnation,
-    messages: messages.map((message: unknown) =>
-      Array.isArray(message) ? expand(message as CompactMessage, { id: from, incarnation }) : undefined,
-    ),
+    messages: messages.map((encoded: unknown) => {
+      const message = decompressed(encoded);
+      return Array.isArray(message)
+        ? expand(message as CompactMessage, { id: from, incarnation })
+        : undefined;
+    }),
   };
 }
 
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync } from 'node:zlib';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
@@ -204,6 +205,42 @@
     );
   });
 
+  it('has the rows of a table in a third of their size', () => {
+    const rows = Array.from({ length: 12 }, (_, index) => ({
+      key: `servers/i-${(index * 7_919).toString(16)}`,
+      value: JSON.stringify({
+        service: 'lot-register',
+        zone: 'ragusa-b',
+        address: `10.1.64.${index.toString()}`,
+      }),
+      version: 1_000 + index,
+    }));
+    const sent: PeerMessage = {
+      type: 'table-changes',
+      table: 'servers',
+      after: 999,
+      version: 1_011,
+      newestChange: 1_011,
+      rows,
+      deletedKeys: [],
+    };
+    const bytes = datagramOf(sent);
+    assert.equal(decodeDatagram(bytes, ADDRESS)?.messages, [sent]);
+    assert.ok(bytes.length < JSON.stringify(sent).length / 3, bytes.length.toString());
+  });
+
+  it('is ignored when a message is damaged, or too large once it is decompressed', () => {
+    const head = Buffer.from(encodeDatagram(SENDER, ADDRESS, []));
+    for (const content of [deflateRawSync(Buffer.alloc(50_000_000)), Buffer.from('no compressed bytes')]) {
+      const bytes = Buffer.concat([
+        head.subarray(0, -1),
+        Buffer.of(0x91, 0xc5, content.length >> 8, content.length & 0xff),
+        content,
+      ]);
+      assert.is(decodeDatagram(bytes, ADDRESS), undefined);
+    }
+  });
+
   it('of a version that writes JSON is ignored', () => {
     const json = JSON.stringify({
       from: SENDER.id,
