Don't campaign again on a row on which an election was lost

A row does not return to a version, so these writes cannot succeed. The next campaign waits 700 ms, the time without a heartbeat after which an assigner is replaced, or until the row or a heartbeat is known.

--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -100,6 +100,8 @@
   #isStoreCallPending = false;
   #nextConfirmationAt = 0;
   #isResigning = false;
+  /** Version of the assigner's row on which a campaign was lost, and when. */
+  #lostCampaign: { readonly rowVersion: number; readonly at: number } | undefined;
   #lastReadRow: { row: AssignerRow; version: number } | undefined;
   #confirmedAt = 0;
   #previousLeaseEndsAt = 0;
@@ -206,7 +208,7 @@
       if (performance.now() >= this.#nextConfirmationAt) {
         void this.#confirm(this.#heldTerm);
       }
-    } else if (!this.#isResigning && this.#shouldCampaign(row?.row)) {
+    } else if (!this.#isResigning && !this.#wouldLoseAgain(row) && this.#shouldCampaign(row?.row)) {
       void this.#campaign(row);
     }
   }
@@ -287,6 +289,18 @@
     }
   }
 
+  /**
+   * Whether a campaign has just been lost on the row that is known here. Its version does not come back; the newer row,
+   * or a heartbeat, is on its way. Load pattern: all entry VMs start at the same time and know no rank yet.
+   */
+  #wouldLoseAgain(known: { readonly version: number } | undefined): boolean {
+    const lost = this.#lostCampaign;
+    return (
+      lost?.rowVersion === (known?.version ?? 0) &&
+      performance.now() - lost.at < HEARTBEAT_TIMEOUT_MILLISECONDS
+    );
+  }
+
   #shouldCampaign(row: AssignerRow | undefined): boolean {
     const { isStoreReachable, rank, hasEnded } = this.#options;
     if (!isStoreReachable()) {
@@ -314,6 +328,7 @@
     try {
       const version = await this.#put({ ...self, term, hasResigned: false }, known?.version ?? 0);
       if (version === undefined) {
+        this.#lostCampaign = { rowVersion: known?.version ?? 0, at: performance.now() };
         logger.log('info', 'election-lost', { term });
         return;
       }
