Read tables that change all the time in turns

Servers repeat their announcements, and each write of an assignment woke both readers, although assignments are sent by the assigner.

After a response without a change that matters to others, a reader now pauses and then reads without waiting: for the servers for its turn, so that one of the two reads each 500 ms, and for assignments 500 ms. The pause ends when the copy is behind a version that another process has seen. The assigner applies its own changes of owners at once instead of reading them from the feed, and reads the feed after its resignation, so that the others see it.

Ruled out: a longer interval of confirmations, which takes the reserve of the 2 s within which a leaving server must be known.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -335,8 +335,9 @@
   }
 
   /** Steps down as the assigner and does not become a candidate again. */
-  resign(): Promise<void> {
-    return this.#election.resign();
+  async resign(): Promise<void> {
+    await this.#election.resign();
+    this.#options.controlRows.poll();
   }
 
   #keyedServices(): readonly string[] {
@@ -379,14 +380,12 @@
     }
   }
 
+  /** Tells this process and the others, who do not wait for the feed. */
   #sendDelta(service: string, delta: KeyAssignmentDelta, rowVersion: number): void {
+    const change = encodeDelta(delta);
+    this.owners.applyDelta(service, change, rowVersion);
     if (delta.added.length <= MAX_DELTA_RANGES) {
-      this.#options.sendToOthers({
-        type: 'assignment-change',
-        service,
-        rowVersion,
-        change: encodeDelta(delta),
-      });
+      this.#options.sendToOthers({ type: 'assignment-change', service, rowVersion, change });
     }
   }
 
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -3,7 +3,7 @@
 import { DisposableStore, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { formatLogLine, type Logger } from '@hickoryhoist/base/common/logger.js';
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
-import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
+import { CONTROL_TABLE, isAssignmentRowKey } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import { KeyedServers } from '@hickoryhoist/standIns/common/emulator/keyedServers.js';
 import { MemoryRowStore } from '@hickoryhoist/standIns/common/emulator/memoryRowStore.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
@@ -102,7 +102,10 @@
     const decode = (_id: string, value: string): ServerRecord => JSON.parse(value) as ServerRecord;
     const watch = (
       table: string,
-      options: Pick<TableWatcherOptions, 'firstCopySource' | 'isRelevantChange'> = {},
+      options: Pick<
+        TableWatcherOptions,
+        'firstCopySource' | 'idlePauseMilliseconds' | 'isRelevantChange'
+      > = {},
     ): TableWatcher =>
       disposables.add(
         new TableWatcher(
@@ -119,11 +122,15 @@
           logger,
         ),
       );
-    const controlRows = watch(CONTROL_TABLE);
+    const controlRows = watch(CONTROL_TABLE, {
+      isRelevantChange: (_before, { key }) => !isAssignmentRowKey(key),
+      idlePauseMilliseconds: 500,
+    });
     const serverRows = watch(SERVERS_TABLE, {
       firstCopySource: () =>
         controller.isReader ? 'store' : selector.firstCopySource(entryVmRegistry.isSettled),
       isRelevantChange: (before, after) => isNewAnnouncement(before, after, decode),
+      idlePauseMilliseconds: Number.POSITIVE_INFINITY,
     });
     const tables = new Map([
       [CONTROL_TABLE, controlRows],
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -8,7 +8,7 @@
 import { RequestDispatcher } from '@hickoryhoist/dispatch/common/requestDispatcher.js';
 import { RetryBudget } from '@hickoryhoist/dispatch/common/retryBudget.js';
 import { ServerConnectionPool } from '@hickoryhoist/dispatch/node/serverConnectionPool.js';
-import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
+import { CONTROL_TABLE, isAssignmentRowKey } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
@@ -37,8 +37,12 @@
 const CONTROL_WAIT_MILLISECONDS = 5_000;
 /** Pause after a change in the table of servers, so that announcements in quick succession share a call. */
 const SERVERS_PAUSE_MILLISECONDS = 250;
-/** Pause after a change in the control table. Ownership changes are sent by datagram as well, without delay. */
 const CONTROL_PAUSE_MILLISECONDS = 100;
+/**
+ * Pause after a write of assignments. The assigner sends them by datagram; a new assigner, whose first change is too
+ * large for one, is elected later than this after the last write of the previous one.
+ */
+const ASSIGNMENT_PAUSE_MILLISECONDS = 500;
 const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 const TICK_MILLISECONDS = 50;
 /** Time for which the port stays open after the stop signal; the load balancer notices within 2 to 3 s. */
@@ -106,7 +110,10 @@
     const watch = (
       table: string,
       pauseMilliseconds: number,
-      options: Pick<TableWatcherOptions, 'isRelevantChange' | 'firstCopySource'> = {},
+      options: Pick<
+        TableWatcherOptions,
+        'isRelevantChange' | 'idlePauseMilliseconds' | 'firstCopySource'
+      > = {},
     ): TableWatcher =>
       this.register(
         new TableWatcher(
@@ -129,10 +136,15 @@
     this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, {
       isRelevantChange: (before, after) =>
         isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
+      // Servers repeat their announcements: a wait would return at once, so the readers read in turns.
+      idlePauseMilliseconds: Number.POSITIVE_INFINITY,
       firstCopySource: () =>
         this.#keyOwnership.isReader ? 'store' : selector.firstCopySource(this.#entryVmRegistry.isSettled),
     });
-    this.#controlRows = watch(CONTROL_TABLE, CONTROL_PAUSE_MILLISECONDS);
+    this.#controlRows = watch(CONTROL_TABLE, CONTROL_PAUSE_MILLISECONDS, {
+      isRelevantChange: (_before, { key }) => !isAssignmentRowKey(key),
+      idlePauseMilliseconds: ASSIGNMENT_PAUSE_MILLISECONDS,
+    });
     this.#tables = new Map([
       [binding.configurationTable, this.#configurationRows],
       [binding.serversTable, this.#serverRows],
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -32,6 +32,12 @@
    * without interruption; after one, intermediate changes of a row may have been missed, and all rows are reported.
    */
   readonly isRelevantChange?: (before: StoredRow | undefined, after: StoredRow) => boolean;
+  /**
+   * Maximum delay after changes of which none is relevant, in milliseconds; by default `pauseMilliseconds`. The next
+   * call waits only for the rest of the time that it would have waited, so that the copy is confirmed as often as that of
+   * a table that does not change.
+   */
+  readonly idlePauseMilliseconds?: number;
   /** Time for which the copy may lag behind a version that another process has seen, in milliseconds. */
   readonly maxLagMilliseconds?: () => number;
   /** Another source of missing changes than the store, which is read when it has none. */
@@ -119,6 +125,8 @@
   #confirmedAt = Number.NEGATIVE_INFINITY;
   /** Whether the last response of the feed contained a change. */
   #followsChange = false;
+  /** Duration of the next wait after an idle pause, in milliseconds. */
+  #remainingWait: number | undefined;
 
   /** Fires after the copy has changed and after each read of the whole table. */
   readonly onDidChange = this.#onDidChange.event;
@@ -335,8 +343,9 @@
       });
       return;
     }
-    const wait = this.#isPollDue ? 0 : waitMilliseconds(this.#followsChange);
+    const wait = this.#isPollDue ? 0 : (this.#remainingWait ?? waitMilliseconds(this.#followsChange));
     this.#isPollDue = false;
+    this.#remainingWait = undefined;
     const after = this.version;
     this.#waitAbort = new AbortController();
     this.#isPolling = wait === 0;
@@ -354,7 +363,8 @@
         return;
       case 'changes': {
         this.#confirmedAt = performance.now();
-        const relevantRows = this.#isFeedContinuous ? this.#relevantRows(changes.rows, after) : changes.rows;
+        const newRelevantRows = this.#relevantRows(changes.rows, after);
+        const relevantRows = this.#isFeedContinuous ? newRelevantRows : changes.rows;
         this.#isFeedContinuous = true;
         const unchangedSince = Math.min(this.#unchangedSince, after);
         const isChanged = this.#apply(changes, 'feed');
@@ -365,7 +375,8 @@
             after: unchangedSince,
             changes: { ...changes, rows: relevantRows },
           });
-          await delay(pauseMilliseconds);
+          const isRelevant = newRelevantRows.length > 0 || changes.deletedKeys.length > 0;
+          await (isRelevant ? delay(pauseMilliseconds) : this.#pauseIdle());
         }
       }
     }
@@ -411,6 +422,18 @@
     }
   }
 
+  /**
+   * Pauses after changes of which none is relevant. Load pattern: hundreds of servers repeat their announcements, so
+   * that no wait for changes lasts.
+   */
+  async #pauseIdle(): Promise<void> {
+    const { waitMilliseconds, pauseMilliseconds, idlePauseMilliseconds = pauseMilliseconds } = this.#options;
+    const wait = waitMilliseconds(false);
+    const pause = Math.min(wait, idlePauseMilliseconds);
+    await this.#pause(pause);
+    this.#remainingWait = wait - pause;
+  }
+
   /** Waits, until something is to be done at once. */
   #pause(milliseconds: number): Promise<void> {
     return new Promise((resolve) => {
