--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -18,6 +18,7 @@
 import { KeyAssigner, type RegisteredServer } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
+import { paceFailedWrites } from '@hickoryhoist/store/common/pacedWrites.js';
 import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
 import type { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
@@ -71,6 +72,8 @@
   readonly #election: AssignerElection;
   readonly #readers: StoreReaders;
   readonly #probe: StoreProbe;
+  /** Store to which the assigners write. */
+  readonly #assignmentStore: RowStore;
   readonly #assigners = new Map<string, KeyAssigner>();
   readonly #trafficByService = new Map<string, KeyTrafficWindow>();
   readonly #processingTimes = new Map<string, ProcessingTimeEstimate>();
@@ -132,6 +135,7 @@
       }),
     );
     this.#probe = new StoreProbe(store, logger);
+    this.#assignmentStore = paceFailedWrites(store);
     this.#readers = new StoreReaders({
       selfId: self.id,
       tables: options.tables,
@@ -347,14 +351,14 @@
   }
 
   #runAssigners(heldTerm: HeldTerm): void {
-    const { store, grantClient, logger, serverRegistry } = this.#options;
+    const { grantClient, logger, serverRegistry } = this.#options;
     for (const service of this.#keyedServices()) {
       let assigner = this.#assigners.get(service);
       if (assigner === undefined) {
         assigner = new KeyAssigner(
           {
             service,
-            store,
+            store: this.#assignmentStore,
             client: grantClient,
             logger,
             assignerLease: {
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -1,9 +1,9 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { FeedChanges, TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
+import { toChangeMessages } from './changeMessages.js';
 import type { EntryVmRecord } from './entryVmRegistry.js';
 import { rankReaders } from './neighbourSelector.js';
 import type { PeerMessage } from './peerMessage.js';
-import { splitIntoBatches } from './changeBatch.js';
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
 /** Entry VMs that read the feeds and reach the store; the assigner, which always reads them, is one of them. */
@@ -41,11 +41,6 @@
 const MAX_STORE_SILENCE_MILLISECONDS = 300;
 /** Reported times are capped, because receivers treat all longer times alike. */
 const MAX_REPORTED_MILLISECONDS = 60_000;
-/** Limit for the row data in a message, so that its datagram crosses a slow link within milliseconds. */
-const MAX_MESSAGE_BYTES = 4_000;
-/** Changes that need more messages are not relayed; each entry VM reads them from a neighbour. */
-const MAX_MESSAGES = 3;
-
 export interface StoreReadersOptions {
   readonly selfId: string;
   /** All watched tables by name. */
@@ -340,26 +335,10 @@
     });
   }
 
-  #relay({ table, after, changes }: FeedChanges): void {
-    if (!this.#isReader) {
-      return;
-    }
+  #relay(changes: FeedChanges): void {
     const { isRelayed, sendToOthers } = this.#options;
-    const relayedRows = changes.rows.filter(({ key }) => isRelayed(table, key));
-    const batches = splitIntoBatches(after, { ...changes, rows: relayedRows }, MAX_MESSAGE_BYTES);
-    if (batches.length > MAX_MESSAGES) {
-      return;
-    }
-    for (const { after: batchAfter, changes: batch } of batches) {
-      sendToOthers({
-        type: 'table-changes',
-        table,
-        after: batchAfter,
-        version: batch.version,
-        newestChange: batch.newestChange,
-        rows: batch.rows.map(({ key, value, version }) => ({ key, value, version })),
-        deletedKeys: [...batch.deletedKeys],
-      });
+    if (this.#isReader) {
+      toChangeMessages(changes, isRelayed).forEach(sendToOthers);
     }
   }
 }
