Ask the next neighbour when the store turns a starting process away

After a neighbour that does not respond, the first copy of a table is read from the store. If the store turns just this process away, the next attempt asks the next neighbour; a failed read was repeated at the store alone. Test: one silent neighbour, a store that refuses, and a second neighbour with a copy: read within 600 ms.

--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -415,7 +415,8 @@
         }
         return;
       case 'read-store':
-        await this.#reloadTable();
+        // If that fails, the next neighbour is asked: the store may turn only this process away.
+        await this.#readTable();
         return;
       case 'retry':
         await this.#pause(step.afterMilliseconds);
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -400,6 +400,41 @@
     });
   });
 
+  it('reads its first copy from another neighbour when one is silent and the store turns it away', async () => {
+    const clock = FakeTimers.install({ now: 0, toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+    const store = new MemoryRowStore();
+    store.refuse('vm', true);
+    const rows = [{ table: TABLE, key: 'a', value: 'one', version: 5 }];
+    const neighbours: NeighbourTables = {
+      readChanges: async (_table, _after, attempt) => {
+        if (attempt === 0) {
+          await delay(500);
+          return { kind: 'unavailable' };
+        }
+        return changesUpTo(5, { rows });
+      },
+    };
+    const watcher = new TableWatcher(
+      store.connect('vm'),
+      {
+        table: TABLE,
+        waitMilliseconds: () => 1_000,
+        pauseMilliseconds: 10,
+        neighbours,
+        firstCopySource: () => 'neighbours',
+      },
+      silentLogger,
+    );
+    watcher.setSource('relay');
+    try {
+      await clock.tickAsync(600);
+      assert.is(watcher.rows.get('a')?.value, 'one');
+    } finally {
+      watcher.dispose();
+      clock.uninstall();
+    }
+  });
+
   it('reports only relevant changes to other processes', async () => {
     await withWatcher(
       async (store, watcher, clock) => {
