--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -15,6 +15,7 @@
 import { KeyAssigner } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
+import { paceFailedWrites } from '@hickoryhoist/store/common/pacedWrites.js';
 import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
 import type { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
@@ -70,6 +71,8 @@
   readonly #election: AssignerElection;
   readonly #readers: StoreReaders;
   readonly #probe: StoreProbe;
+  /** Store to which the assigners write. */
+  readonly #assignmentStore: RowStore;
   readonly #assigners = new Map<string, KeyAssigner>();
   readonly #trafficByService = new Map<string, KeyTrafficWindow>();
   readonly #processingTimes = new Map<string, ProcessingTimeEstimate>();
@@ -131,6 +134,7 @@
       }),
     );
     this.#probe = new StoreProbe(store, logger);
+    this.#assignmentStore = paceFailedWrites(store);
     this.#readers = new StoreReaders({
       selfId: self.id,
       tables: options.tables,
@@ -335,8 +339,9 @@
   }
 
   /** Steps down as the assigner and does not become a candidate again. */
-  resign(): Promise<void> {
-    return this.#election.resign();
+  async resign(): Promise<void> {
+    await this.#election.resign();
+    this.#options.controlRows.poll();
   }
 
   #keyedServices(): readonly string[] {
@@ -346,14 +351,14 @@
   }
 
   #runAssigners(heldTerm: HeldTerm): void {
-    const { store, grantClient, logger, serverRegistry, assignableServers } = this.#options;
+    const { grantClient, logger, serverRegistry, assignableServers } = this.#options;
     for (const service of this.#keyedServices()) {
       let assigner = this.#assigners.get(service);
       if (assigner === undefined) {
         assigner = new KeyAssigner(
           {
             service,
-            store,
+            store: this.#assignmentStore,
             client: grantClient,
             logger,
             assignerLease: {
@@ -379,14 +384,12 @@
     }
   }
 
+  /** Tells this process and the others, who do not wait for the feed. */
   #sendDelta(service: string, delta: KeyAssignmentDelta, rowVersion: number): void {
+    const change = encodeDelta(delta);
+    this.owners.applyDelta(service, change, rowVersion);
     if (delta.added.length <= MAX_DELTA_RANGES) {
-      this.#options.sendToOthers({
-        type: 'assignment-change',
-        service,
-        rowVersion,
-        change: encodeDelta(delta),
-      });
+      this.#options.sendToOthers({ type: 'assignment-change', service, rowVersion, change });
     }
   }
 
