--- a/packages/entryVm/src/common/test/zoneEvacuations.test.ts
+++ b/packages/entryVm/src/common/test/zoneEvacuations.test.ts
@@ -10,7 +10,15 @@
 
 const services = new Map<string, RoutedService>([
   ['catalogue', { name: 'catalogue', kind: 'keyed', connectionsPerServer: 50 }],
-  ['loans', { name: 'loans', kind: 'pooled', connectionsPerServer: 50 }],
+  [
+    'loans',
+    {
+      name: 'loans',
+      kind: 'pooled',
+      connectionsPerServer: 50,
+      coldStart: { warmupMilliseconds: 3_000, requestsPerSecond: 6 },
+    },
+  ],
 ]);
 
 class Scenario {
@@ -50,7 +58,14 @@
         [...services.keys()].flatMap((service) =>
           ['zone-1', 'zone-2'].map((zone): [string, StoredRow] => {
             const id = `${service}@${zone}`;
-            const record = { id, incarnation: 1, service, availabilityZone: zone, phase: 'ready' };
+            const record = {
+              id,
+              incarnation: 1,
+              service,
+              availabilityZone: zone,
+              phase: 'ready',
+              warmupMilliseconds: 0,
+            };
             return [id, { table: 'servers', key: id, value: JSON.stringify(record), version: 1 }];
           }),
         ),
@@ -126,6 +141,21 @@
     });
   });
 
+  it('leave servers that warm up again, if the service has limits for cold servers', () => {
+    withScenario((scenario) => {
+      const warmups = (): readonly number[] =>
+        [...services.keys()].flatMap((service) =>
+          scenario.servers.ofService(service).map(({ warmupMilliseconds }) => warmupMilliseconds),
+        );
+      scenario.put('leave/zone-1');
+      scenario.delete('leave/zone-1');
+      scenario.advance(1_000);
+      assert.equal(warmups(), [0, 0, 2_000, 0]);
+      scenario.advance(2_000);
+      assert.equal(warmups(), [0, 0, 0, 0]);
+    });
+  });
+
   it('may concern several zones, also all of them', () => {
     withScenario((scenario) => {
       scenario.put('configuration');
--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -139,8 +139,9 @@
     }
     this.#lastTickAt = now;
     if (!this.#isTakeover) {
-      this.#sendDueCommands(now);
-      this.#evacuate(now);
+      const servers = this.#options.servers();
+      this.#sendDueCommands(now, servers);
+      this.#evacuate(now, servers);
       this.#balance(now);
     }
     if (!this.#isWriting && this.#options.assignerLease.isValid()) {
@@ -151,8 +152,7 @@
     }
   }
 
-  #sendDueCommands(now: number): void {
-    const servers = this.#options.servers();
+  #sendDueCommands(now: number, servers: ReadonlyMap<string, RegisteredServer>): void {
     for (const lease of this.#leases) {
       const server = servers.get(lease.range.ownerId);
       this.#checkOwner(lease, server, now);
@@ -193,8 +193,8 @@
   }
 
   /** Starts moves of keys out of evacuated availability zones. */
-  #evacuate(now: number): void {
-    const evacuated = [...this.#options.servers().values()].filter(({ phase }) => phase === 'evacuated');
+  #evacuate(now: number, servers: ReadonlyMap<string, RegisteredServer>): void {
+    const evacuated = [...servers.values()].filter(({ phase }) => phase === 'evacuated');
     // A pending write replaces the leases once it is done.
     if (evacuated.length === 0 || this.#pendingWrite !== undefined) {
       return;
@@ -468,7 +468,7 @@
       changed: leases.filter(({ range }) => range.fence === assignment.revision).length,
     });
     this.#options.onDidWrite(delta, rowVersion);
-    this.#sendDueCommands(now);
+    this.#sendDueCommands(now, this.#options.servers());
   }
 
   #createLease(
