Bound servers of a zone that was taken back by the warm-up time that the scheduler reads

The scheduler reads the warm-up times that servers announce from the registry, so the warm-up time of a zone that was taken back no longer reached it. Both are now answered in one place. What the assigner gives a server follows the announced remaining time as well, so that a server that becomes cold without a restart is bounded too.

--- a/packages/entryVm/src/common/assignableServers.ts
+++ b/packages/entryVm/src/common/assignableServers.ts
@@ -9,18 +9,13 @@
 import type { ServerRegistry } from './serverRegistry.js';
 import type { ZoneEvacuations } from './zoneEvacuations.js';
 
-interface FirstSeen {
-  readonly incarnation: number;
-  readonly at: number;
-}
-
 /** The servers of keyed services as the assigner sees them: with their throughput, and what they may be given. */
 export class AssignableServers {
   readonly #serverRegistry: ServerRegistry;
   readonly #evacuations: ZoneEvacuations;
   readonly #services: () => ReadonlyMap<string, RoutedService>;
-  /** When each server was first seen here, by ID. */
-  readonly #firstSeen = new Map<string, FirstSeen>();
+  /** When the warm-up times end or ended that servers announced, by ID. */
+  readonly #coldUntil = new Map<string, number>();
 
   constructor(
     serverRegistry: ServerRegistry,
@@ -86,21 +81,21 @@
       : coldStartBound(coldStart, sinceCold, requestsPerSecond);
   }
 
-  /** Time since a server started cold, judged by the warm-up time that it announced; infinite if it announced none. */
-  #millisecondsSinceStart({ id, incarnation, warmupMilliseconds }: ServerRecord, warmup: number): number {
+  /** Time since a server became cold, judged by the warm-up time that it announced; infinite if it announced none. */
+  #millisecondsSinceStart({ id }: ServerRecord, warmupMilliseconds: number): number {
     const now = performance.now();
-    const known = this.#firstSeen.get(id);
-    const firstSeen = known?.incarnation === incarnation ? known : { incarnation, at: now };
-    this.#firstSeen.set(id, firstSeen);
-    return warmupMilliseconds > 0
-      ? now - firstSeen.at + Math.max(0, warmup - warmupMilliseconds)
-      : Number.POSITIVE_INFINITY;
+    const remaining = this.#serverRegistry.warmupMilliseconds(id);
+    if (remaining > 0) {
+      this.#coldUntil.set(id, now + remaining);
+    }
+    const coldUntil = this.#coldUntil.get(id);
+    return coldUntil === undefined ? Number.POSITIVE_INFINITY : warmupMilliseconds + now - coldUntil;
   }
 
   #forgetAbsentServers(): void {
-    for (const id of this.#firstSeen.keys()) {
+    for (const id of this.#coldUntil.keys()) {
       if (!this.#serverRegistry.servers.has(id)) {
-        this.#firstSeen.delete(id);
+        this.#coldUntil.delete(id);
       }
     }
   }
--- a/packages/entryVm/src/common/availableServers.ts
+++ b/packages/entryVm/src/common/availableServers.ts
@@ -26,18 +26,22 @@
   }
 
   ofService(service: string): readonly ServerRecord[] {
-    return [...this.#serverRegistry.servers.values()]
-      .filter((server) => server.service === service && server.phase === 'ready' && this.#isZoneOpen(server))
-      .map((server) => this.#withWarmup(server));
+    return [...this.#serverRegistry.servers.values()].filter(
+      (server) => server.service === service && server.phase === 'ready' && this.#isZoneOpen(server),
+    );
   }
 
-  /** Servers may have become cold while their zone was evacuated, so they warm up again when it is taken back. */
-  #withWarmup(server: ServerRecord): ServerRecord {
-    const sinceReturn = this.#evacuations.millisecondsSinceReturn(server.availabilityZone);
-    const warmup = this.#services().get(server.service)?.coldStart?.warmupMilliseconds;
-    return sinceReturn === undefined || warmup === undefined || sinceReturn >= warmup
-      ? server
-      : { ...server, warmupMilliseconds: Math.max(server.warmupMilliseconds, warmup - sinceReturn) };
+  /**
+   * Time for which a server stays cold, in milliseconds, as announced. Servers may have become cold while their zone was
+   * evacuated, and their announcement may still be on its way when it is taken back.
+   */
+  warmupMilliseconds({ id, service, availabilityZone }: ServerRecord): number {
+    const announced = this.#serverRegistry.warmupMilliseconds(id);
+    const sinceReturn = this.#evacuations.millisecondsSinceReturn(availabilityZone);
+    const warmup = this.#services().get(service)?.coldStart?.warmupMilliseconds;
+    return sinceReturn === undefined || warmup === undefined
+      ? announced
+      : Math.max(announced, warmup - sinceReturn);
   }
 
   /** Whether the availability zone of a server gets no requests at all. */
--- a/packages/entryVm/src/common/test/zoneEvacuations.test.ts
+++ b/packages/entryVm/src/common/test/zoneEvacuations.test.ts
@@ -145,7 +145,7 @@
     withScenario((scenario) => {
       const warmups = (): readonly number[] =>
         [...services.keys()].flatMap((service) =>
-          scenario.servers.ofService(service).map(({ warmupMilliseconds }) => warmupMilliseconds),
+          scenario.servers.ofService(service).map((server) => scenario.servers.warmupMilliseconds(server)),
         );
       scenario.put('leave/zone-1');
       scenario.delete('leave/zone-1');
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -478,7 +478,7 @@
       const limits = coldStart && coldStartBudget(coldStart.requestsPerSecond, this.#settings.coldStartBound);
       const servers = this.#availableServers.ofService(service).map((server) => ({
         ...server,
-        warmupMilliseconds: this.#serverRegistry.warmupMilliseconds(server.id),
+        warmupMilliseconds: this.#availableServers.warmupMilliseconds(server),
         coldStart: limits,
       }));
       this.#slots.setServers(service, servers);
