--- a/packages/entryVm/src/common/availableServers.ts
+++ b/packages/entryVm/src/common/availableServers.ts
@@ -31,6 +31,19 @@
     );
   }
 
+  /**
+   * Time for which a server stays cold, in milliseconds, as announced. Servers may have become cold while their zone was
+   * evacuated, and their announcement may still be on its way when it is taken back.
+   */
+  warmupMilliseconds({ id, service, availabilityZone }: ServerRecord): number {
+    const announced = this.#serverRegistry.warmupMilliseconds(id);
+    const sinceReturn = this.#evacuations.millisecondsSinceReturn(availabilityZone);
+    const warmup = this.#services().get(service)?.coldStart?.warmupMilliseconds;
+    return sinceReturn === undefined || warmup === undefined
+      ? announced
+      : Math.max(announced, warmup - sinceReturn);
+  }
+
   /** Whether the availability zone of a server gets no requests at all. */
   isInClosedZone(id: string): boolean {
     const server = this.#serverRegistry.servers.get(id);
