Accept what will meet its goal in spite of varying times, and count requests that servers state

Callers of keyed services got many late answers.

Two causes lie in the scheduler. It granted slots up to its own count although the server stated more requests; the stated ones now count as in flight while they are fresh. And it accepted a request whose average time fitted its goal, so that under overload, with the earliest goal first, about two of five came late and held up the next. A request behind others is now accepted if the time of nine of ten requests fits, and one whose goal is below the quickest times waits behind the others.

--- a/packages/dispatch/src/common/serverPace.ts
+++ b/packages/dispatch/src/common/serverPace.ts
@@ -182,8 +182,13 @@
     const isUnreported = this.#unreported !== undefined;
     this.#unreported = undefined;
     if (!isUnreported || reason === 'ejected') {
-      const milliseconds = this.#milliseconds;
-      this.#onDidChange({ reason, before, limit: this.limit, milliseconds, peerMilliseconds });
+      this.#onDidChange({
+        reason,
+        before,
+        limit: this.limit,
+        milliseconds: this.#milliseconds === undefined ? undefined : Math.round(this.#milliseconds),
+        peerMilliseconds: peerMilliseconds === undefined ? undefined : Math.round(peerMilliseconds),
+      });
     }
   }
 }
--- a/packages/dispatch/src/common/serverPlacement.ts
+++ b/packages/dispatch/src/common/serverPlacement.ts
@@ -10,7 +10,7 @@
 
 /** Whether a server can be sent another request now. */
 export function hasCapacity(server: ServerStatistics, now: number): boolean {
-  return server.inFlight < server.slots + QUEUED_PER_SERVER && server.requestsAdmitted(now) >= 1;
+  return server.expectedRequests(now) < server.slots + QUEUED_PER_SERVER && server.requestsAdmitted(now) >= 1;
 }
 
 /** Expected cost of a request at a server, for comparison with other servers. */
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -18,6 +18,10 @@
  * long-term time restarts from the recent one.
  */
 const LONG_TERM_RESET_FACTOR = 1.8;
+/** Deviation of processing times assumed before the first sample, relative to the processing time. */
+const INITIAL_DEVIATION_RATIO = 0.5;
+/** Number of mean deviations above the average below which nine of ten processing times are. */
+const LIKELY_DEVIATIONS = 1.5;
 /** Weight of a new attempt in the smoothed failure rate. */
 const FAILURE_SMOOTHING = 0.2;
 /** Factor by which a server is slower while it warms up. */
@@ -51,6 +55,8 @@
   /** Attempts in flight, the oldest first. */
   readonly #attempts = new Map<string, Attempt>();
   #smoothedMilliseconds: number;
+  /** Smoothed absolute deviation of a processing time from the smoothed one. */
+  #deviationMilliseconds: number;
   #longTermMilliseconds = 0;
   #sampleCount = 0;
   #failureRate = 0;
@@ -72,6 +78,7 @@
     this.availabilityZone = server.availabilityZone;
     this.slots = server.slots;
     this.#smoothedMilliseconds = initialMilliseconds;
+    this.#deviationMilliseconds = INITIAL_DEVIATION_RATIO * initialMilliseconds;
     this.#coldStart = new ColdStartLimit(server.coldStart);
     this.#pace = pace;
     this.extendWarmup(server.warmupMilliseconds, now);
@@ -87,6 +94,17 @@
     return this.#smoothedMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
   }
 
+  /** Time within which about nine of ten requests are processed, in milliseconds. */
+  likelyMilliseconds(now: number): number {
+    const factor = this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1;
+    return this.expectedMilliseconds(now) + LIKELY_DEVIATIONS * this.#deviationMilliseconds * factor;
+  }
+
+  /** Time within which about one of five requests is processed, in milliseconds. */
+  quickMilliseconds(now: number): number {
+    return Math.max(0, this.expectedMilliseconds(now) - this.#deviationMilliseconds);
+  }
+
   /** Average processing time over the last requests; undefined before the first sample. */
   longTermProcessingTime(now: number): ProcessingTimeEstimate | undefined {
     const requestsPerSecond = this.requestsPerSecond(now);
@@ -252,6 +270,8 @@
   }
 
   #addSample(milliseconds: number): void {
+    const deviation = Math.abs(milliseconds - this.#smoothedMilliseconds);
+    this.#deviationMilliseconds += PROCESSING_TIME_SMOOTHING * (deviation - this.#deviationMilliseconds);
     this.#smoothedMilliseconds += PROCESSING_TIME_SMOOTHING * (milliseconds - this.#smoothedMilliseconds);
     this.#sampleCount = Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
     this.#longTermMilliseconds += (milliseconds - this.#longTermMilliseconds) / this.#sampleCount;
