Encode and decode messages by layouts that are prepared once

The fields of a message went through several intermediate objects on both ways. The codecs of each layout are now looked up once, and one loop fills the array or the object.

Ruled out: arrays in JSON instead of MessagePack, which the runtime parses itself.

--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -1,12 +1,6 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Decoder, Encoder } from '@msgpack/msgpack';
 
-/** A message in its compact form: its code, and the values of its fields in a fixed order. */
-type CompactMessage = readonly unknown[];
-
-/** A message before its fields are checked. */
-type UncheckedMessage = Record<string, unknown>;
-
 /** Kept, because each allocates buffers. */
 const encoder = new Encoder();
 const decoder = new Decoder();
@@ -23,10 +17,26 @@
 const INCARNATION_PATTERN = /^[0-9a-f]{8}$/;
 const SLOT_REQUEST_ID_PATTERN = /^([0-9a-f]{8}):([1-9]\d{0,14})$/;
 
+/** A message in its compact form: its code, and the values of its fields in a fixed order. */
+type CompactMessage = readonly unknown[];
+
+/** A message before its fields are checked. */
+type UncheckedMessage = Record<string, unknown>;
+
+/** The process that sends a datagram. Fields of its messages with the same value are left out. */
+export interface DatagramSender {
+  /** Identifier of the entry VM. */
+  readonly id: string;
+  readonly incarnation: string;
+}
+
+/** The sender as stated in a datagram, not checked. */
+type UncheckedSender = Readonly<Record<keyof DatagramSender, unknown>>;
+
 /** Reads and writes the values of a field. Values that it does not know are passed on, and fail the check of the message. */
 interface FieldCodec {
-  readonly encode: (value: unknown) => unknown;
-  readonly decode: (value: unknown) => unknown;
+  readonly encode: (value: unknown, sender: DatagramSender) => unknown;
+  readonly decode: (value: unknown, sender: UncheckedSender) => unknown;
 }
 
 /** Writes one of some known texts as its position. */
@@ -47,56 +57,58 @@
 
 function listOf(codec: FieldCodec): FieldCodec {
   return {
-    encode: (value) => (Array.isArray(value) ? value.map((item) => codec.encode(item)) : value),
-    decode: (value) => (Array.isArray(value) ? value.map((item) => codec.decode(item)) : value),
+    encode: (value, sender) =>
+      Array.isArray(value) ? value.map((item) => codec.encode(item, sender)) : value,
+    decode: (value, sender) =>
+      Array.isArray(value) ? value.map((item) => codec.decode(item, sender)) : value,
+  };
+}
+
+/** Leaves out a value that the check of the message puts in for an absent one. */
+function absentIf(isDefault: (value: unknown) => boolean): FieldCodec {
+  return { encode: (value) => (isDefault(value) ? undefined : value), decode: (value) => value };
+}
+
+const absentIfZero = absentIf((value) => value === 0);
+const absentIfEmpty = absentIf((value) => value === '' || (Array.isArray(value) && value.length === 0));
+
+/** Leaves out a value that the sender has, too. */
+function sameAsSender(name: keyof DatagramSender): FieldCodec {
+  return {
+    encode: (value, sender) => (value === sender[name] ? undefined : value),
+    decode: (value, sender) => value ?? sender[name],
   };
 }
 
+/** Writes eight hexadecimal digits as a number. */
+function encodeIncarnation(value: unknown): unknown {
+  return typeof value === 'string' && INCARNATION_PATTERN.test(value)
+    ? Number.parseInt(value, HEXADECIMAL)
+    : value;
+}
+
+function decodeIncarnation(value: unknown): unknown {
+  return typeof value === 'number' ? value.toString(HEXADECIMAL).padStart(INCARNATION_DIGITS, '0') : value;
+}
+
 /** Writes the identifier of a slot request, `INCARNATION:NUMBER`, as two numbers. */
 const slotRequestId: FieldCodec = {
   encode: (value) => {
     const [, incarnation, number] =
       typeof value === 'string' ? (SLOT_REQUEST_ID_PATTERN.exec(value) ?? []) : [];
-    return incarnation === undefined ? value : [hexadecimal.encode(incarnation), Number(number)];
+    return incarnation === undefined ? value : [encodeIncarnation(incarnation), Number(number)];
   },
   decode: (value) => {
     const [incarnation, number] = Array.isArray(value) ? (value as unknown[]) : [];
     return typeof incarnation === 'number' && typeof number === 'number'
-      ? `${String(hexadecimal.decode(incarnation))}:${number.toString()}`
+      ? `${String(decodeIncarnation(incarnation))}:${number.toString()}`
       : value;
   },
 };
 
-/** Leaves out a value that the check of the message puts in for an absent one. */
-function absentIf(isDefault: (value: unknown) => boolean): FieldCodec {
-  return { encode: (value) => (isDefault(value) ? undefined : value), decode: (value) => value };
-}
-
-const absentIfZero = absentIf((value) => value === 0);
-const absentIfEmpty = absentIf((value) => value === '' || (Array.isArray(value) && value.length === 0));
-
-/** Writes eight hexadecimal digits as a number. */
-const hexadecimal: FieldCodec = {
-  encode: (value) =>
-    typeof value === 'string' && INCARNATION_PATTERN.test(value)
-      ? Number.parseInt(value, HEXADECIMAL)
-      : value,
-  decode: (value) =>
-    typeof value === 'number' ? value.toString(HEXADECIMAL).padStart(INCARNATION_DIGITS, '0') : value,
-};
-
-/** The process that sends a datagram. Fields of its messages with the same value are left out. */
-export interface DatagramSender {
-  /** Identifier of the entry VM. */
-  readonly id: string;
-  readonly incarnation: string;
-}
-
 interface MessageLayout {
   readonly type: string;
   readonly fields: readonly string[];
-  /** Fields that usually have the values of the sender. */
-  readonly senderFields?: readonly (keyof DatagramSender)[];
   readonly codecs: Readonly<Record<string, FieldCodec>>;
 }
 
@@ -151,14 +163,12 @@
   {
     type: 'heartbeat',
     fields: ['id', 'term', 'storeSilence', 'sentAt', 'versions', 'assignments'],
-    senderFields: ['id'],
-    codecs: {},
+    codecs: { id: sameAsSender('id') },
   },
   {
     type: 'reader-heartbeat',
     fields: ['id', 'storeReachable', 'storeSilence', 'unconfirmed', 'versions'],
-    senderFields: ['id'],
-    codecs: {},
+    codecs: { id: sameAsSender('id') },
   },
   {
     type: 'table-changes',
@@ -183,27 +193,37 @@
       'keys',
       'serverTimes',
     ],
-    senderFields: ['id', 'incarnation'],
-    codecs: {},
+    codecs: { id: sameAsSender('id'), incarnation: sameAsSender('incarnation') },
   },
 ];
 
+const COMPILED_LAYOUTS = LAYOUTS.map(({ type, fields, codecs }, code) => ({
+  type,
+  code,
+  fields: fields.map((name) => ({ name, codec: codecs[name] })),
+}));
+const LAYOUT_BY_TYPE: ReadonlyMap<unknown, (typeof COMPILED_LAYOUTS)[number]> = new Map(
+  COMPILED_LAYOUTS.map((layout) => [layout.type, layout]),
+);
+
 /**
  * Encodes a message between entry VMs as an array in MessagePack; absent fields at the end are left out. A large message
  * is a byte string with the compressed array.
  */
 export function encodeCompact(message: UncheckedMessage, sender: DatagramSender): Uint8Array {
-  const code = LAYOUTS.findIndex(({ type }) => type === message.type);
-  const layout = LAYOUTS[code];
+  const layout = LAYOUT_BY_TYPE.get(message.type);
   if (layout === undefined) {
     throw new TypeError(`no layout for messages of type ${String(message.type)}`);
   }
-  const fields = { ...message };
-  for (const name of layout.senderFields ?? []) {
-    fields[name] = fields[name] === sender[name] ? undefined : fields[name];
+  const values: unknown[] = [layout.code];
+  let length = 1;
+  for (const { name, codec } of layout.fields) {
+    const value = codec === undefined ? message[name] : codec.encode(message[name], sender);
+    values.push(value);
+    length = value === undefined || value === null ? length : values.length;
   }
-  const coded = layout.fields.map((name) => codecOf(layout, name).encode(fields[name]));
-  return compressed(encoder.encode([code, ...withoutAbsentEnd(coded)]));
+  values.length = length;
+  return compressed(encoder.encode(values));
 }
 
 function compressed(message: Uint8Array): Uint8Array {
@@ -222,26 +242,22 @@
 }
 
 /** @returns the fields of a message, not checked; undefined if it has no known layout. */
-function expand(
-  [code, ...values]: CompactMessage,
-  sender: Readonly<Record<string, unknown>>,
-): UncheckedMessage | undefined {
-  const layout = typeof code === 'number' ? LAYOUTS[code] : undefined;
-  if (layout === undefined || values.length > layout.fields.length) {
+function expand(values: CompactMessage, sender: UncheckedSender): UncheckedMessage | undefined {
+  const [code] = values;
+  const layout = typeof code === 'number' ? COMPILED_LAYOUTS[code] : undefined;
+  if (layout === undefined || values.length > layout.fields.length + 1) {
     return undefined;
   }
-  const fields: UncheckedMessage = { type: layout.type };
-  for (let index = 0; index < values.length; index += 1) {
-    const name = layout.fields[index];
-    const value = values[index];
-    if (name !== undefined && value !== null) {
-      fields[name] = codecOf(layout, name).decode(value);
+  const message: UncheckedMessage = { type: layout.type };
+  let index = 1;
+  for (const { name, codec } of layout.fields) {
+    const value = codec === undefined ? values[index] : codec.decode(values[index] ?? undefined, sender);
+    if (value !== undefined && value !== null) {
+      message[name] = value;
     }
+    index += 1;
   }
-  for (const name of layout.senderFields ?? []) {
-    fields[name] ??= sender[name];
-  }
-  return fields;
+  return message;
 }
 
 /** A datagram whose parts are not checked. */
@@ -270,7 +286,7 @@
     return undefined;
   }
   const from = typeof sentFrom === 'string' && sentFrom.endsWith('@') ? sentFrom + sourceAddress : sentFrom;
-  const incarnation = hexadecimal.decode(sentIncarnation);
+  const incarnation = decodeIncarnation(sentIncarnation);
   return {
     from,
     incarnation,
@@ -295,16 +311,10 @@
 ): Uint8Array {
   const from = id.endsWith(`@${sourceAddress}`) ? id.slice(0, id.length - sourceAddress.length) : id;
   const placeholders = new Array<null>(messageCount).fill(null);
-  const head = encoder.encode([format, from, hexadecimal.encode(incarnation), placeholders]);
+  const head = encoder.encode([format, from, encodeIncarnation(incarnation), placeholders]);
   return head.subarray(0, head.length - messageCount);
 }
 
-const unchanged: FieldCodec = { encode: (value) => value, decode: (value) => value };
-
-function codecOf({ codecs }: MessageLayout, name: string): FieldCodec {
-  return codecs[name] ?? unchanged;
-}
-
 function isRecord(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
