Decode rows of entry VMs once, and keep their list while other rows change

Processor time grew with the square of the number of entry VMs. The control table holds a row for each of them beside the assignments, which change several times a second. At each of these changes every entry VM decoded and validated all rows, sorted them and replaced its list. Coordinator rankings, reader ranks and neighbours are cached for as long as the list is the same object, so all of them were computed again as well. In addition the order of succession was sorted on each tick of 50 ms.

Rows are now decoded once for each version, and the list is replaced only when a row of an entry VM changes. The order of succession is kept for each list, in a module of its own; the controller of key ownership gives up its function. (Hooks of a few lines in entryVmRegistry and keyOwnershipController.)

--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
+import { DecodedRows } from './decodedRows.js';
 
 const ENTRY_VM_PREFIX = 'entry-vm/';
 /** Pause after a failed attempt to write this entry VM's row. */
@@ -81,6 +82,8 @@
   #storedSelf: EntryVmRecord | undefined;
   /** Whether the table contained a row of an earlier incarnation of this entry VM, and so those of the others as well. */
   #hasRunBefore = false;
+  readonly #decodedRows = new DecodedRows((row) => this.#parseRow(row));
+  #appliedRecords: readonly EntryVmRecord[] | undefined;
   #addressById: ReadonlyMap<string, string> = new Map();
   #records: readonly EntryVmRecord[];
   #otherAddresses: readonly string[] = [];
@@ -120,7 +123,11 @@
 
   /** Reads the rows of the table. Must be called after each change. */
   update(): void {
-    const records = [...this.#rows.rows.values()].flatMap((row) => this.#parseRow(row));
+    const records = this.#decodedRows.read(this.#rows.rows);
+    if (records === this.#appliedRecords && !this.#isLeaving) {
+      return;
+    }
+    this.#appliedRecords = records;
     this.#storedSelf = records.find(({ id }) => id === this.#self.id);
     this.#hasRunBefore ||=
       this.#storedSelf !== undefined && this.#storedSelf.incarnation !== this.#self.incarnation;
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -28,9 +28,10 @@
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import { KeyOwners } from './keyOwners.js';
 import { KeyTrafficWindow } from '@hickoryhoist/keyownership/common/keyTrafficWindow.js';
-import { broadcastCapacity, type EntryVmRegistry, type EntryVmRecord } from './entryVmRegistry.js';
+import type { EntryVmRegistry, EntryVmRecord } from './entryVmRegistry.js';
 import type { PeerMessage } from './peerMessage.js';
 import type { ServerRegistry } from './serverRegistry.js';
+import { successionRank } from './successionOrder.js';
 import { StoreReaders } from './storeReaders.js';
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
@@ -307,7 +308,7 @@
   /** Position of this process in the order in which entry VMs replace the assigner. */
   #successionRank(): number {
     const { self, entryVmRegistry } = this.#options;
-    return sortByBroadcastCapacity(entryVmRegistry.entryVms()).findIndex(({ id }) => id === self.id);
+    return successionRank(entryVmRegistry.entryVms(), self.id);
   }
 
   /**
@@ -490,10 +491,3 @@
     return window;
   }
 }
-
-/** The best-equipped entry VMs first: the assigner has the most work, and broadcasts to all others. */
-function sortByBroadcastCapacity(entryVms: readonly EntryVmRecord[]): readonly EntryVmRecord[] {
-  return [...entryVms].sort(
-    (left, right) => broadcastCapacity(right) - broadcastCapacity(left) || left.id.localeCompare(right.id),
-  );
-}
