Format log lines and metric labels without intermediate arrays

Each request writes several log lines and updates several metrics; both were built from arrays of entries that were filtered, mapped and joined, and numbers were tested for characters to quote. One loop does the same.

--- a/packages/base/src/common/logger.ts
+++ b/packages/base/src/common/logger.ts
@@ -14,14 +14,21 @@
 
 /** Formats an event as key=value pairs; values with spaces or quotes are written as JSON strings. */
 export function formatLogLine(event: string, fields: LogFields): string {
-  const all: LogFields = { event, ...fields };
-  const pairs = Object.entries(all).filter(([, value]) => value !== undefined);
-  return pairs.map(([key, value]) => `${key}=${formatValue(value)}`).join(' ');
+  let line = `event=${formatValue(event)}`;
+  for (const key of Object.keys(fields)) {
+    const value = fields[key];
+    if (value !== undefined) {
+      line += ` ${key}=${formatValue(value)}`;
+    }
+  }
+  return line;
 }
 
-function formatValue(value: string | number | boolean | undefined): string {
-  const text = String(value);
-  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+function formatValue(value: string | number | boolean): string {
+  if (typeof value !== 'string') {
+    return String(value);
+  }
+  return /^[^\s"=]+$/.test(value) ? value : JSON.stringify(value);
 }
 
 const PAIR_PATTERN = /([^\s=]+)=("(?:[^"\\]|\\.)*"|\S*)/g;
--- a/packages/entryVm/src/common/entryVmMetrics.ts
+++ b/packages/entryVm/src/common/entryVmMetrics.ts
@@ -66,9 +66,13 @@
 }
 
 function formatLabels(labels: MetricLabels): string {
-  return Object.entries(labels)
-    .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
-    .join(',');
+  let text = '';
+  for (const name of Object.keys(labels)) {
+    const value = labels[name] ?? '';
+    const quoted = /^[\w.-]*$/.test(value) ? `"${value}"` : JSON.stringify(value);
+    text += `${text === '' ? '' : ','}${name}=${quoted}`;
+  }
+  return text;
 }
 
 function inBraces(labels: string): string {
