--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -22,10 +22,11 @@
 import type { AssignableServers } from './assignableServers.js';
 import { KeyOwners } from './keyOwners.js';
 import { KeyTrafficWindow } from '@hickoryhoist/keyownership/common/keyTrafficWindow.js';
-import { broadcastCapacity, type EntryVmRegistry, type EntryVmRecord } from './entryVmRegistry.js';
+import type { EntryVmRegistry, EntryVmRecord } from './entryVmRegistry.js';
 import type { PeerMessage } from './peerMessage.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import { PROBE_AFTER_MILLISECONDS, StoreProbe } from './storeProbe.js';
+import { successionRank } from './successionOrder.js';
 import { StoreReaders } from './storeReaders.js';
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
@@ -319,7 +320,7 @@
   /** Position of this process in the order in which entry VMs replace the assigner. */
   #successionRank(): number {
     const { self, entryVmRegistry } = this.#options;
-    return sortByBroadcastCapacity(entryVmRegistry.entryVms()).findIndex(({ id }) => id === self.id);
+    return successionRank(entryVmRegistry.entryVms(), self.id);
   }
 
   #probeStoreIfDue(now: number): void {
@@ -467,10 +468,3 @@
     return window;
   }
 }
-
-/** The best-equipped entry VMs first: the assigner has the most work, and broadcasts to all others. */
-function sortByBroadcastCapacity(entryVms: readonly EntryVmRecord[]): readonly EntryVmRecord[] {
-  return [...entryVms].sort(
-    (left, right) => broadcastCapacity(right) - broadcastCapacity(left) || left.id.localeCompare(right.id),
-  );
-}
