Start to watch a table when its owner is constructed

An entry VM that started read its first copy of the servers about 100 ms late: the watcher asked for the source of the copy while the entry VM was still being constructed, and failed on a component that did not exist yet (`table-read-failed table=servers reason="Cannot read properties of undefined (reading 'isReader')"`).

The watcher now starts in a microtask, after the code that created it. The test failed before.

--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -140,7 +140,8 @@
     this.#logger = logger;
     let isStopped = false;
     this.register(toDisposable(() => (isStopped = true)));
-    void this.#run(() => isStopped);
+    // The options refer to other components of the owner, which is still being constructed.
+    queueMicrotask(() => void this.#run(() => isStopped));
   }
 
   /** Rows by key. */
--- a/packages/store/src/common/test/tableWatcher.test.ts
+++ b/packages/store/src/common/test/tableWatcher.test.ts
@@ -55,6 +55,29 @@
     });
   });
 
+  it('asks its options only when the code that created it is done', async () => {
+    const store = new MemoryRowStore();
+    const owner = { isConstructed: false };
+    const calls: boolean[] = [];
+    const watcher = new TableWatcher(
+      store.connect('vm'),
+      {
+        table: TABLE,
+        waitMilliseconds: () => 10,
+        pauseMilliseconds: 10,
+        firstCopySource: () => {
+          calls.push(owner.isConstructed);
+          return 'store';
+        },
+      },
+      silentLogger,
+    );
+    owner.isConstructed = true;
+    await Promise.resolve();
+    watcher.dispose();
+    assert.equal(calls, [true]);
+  });
+
   it('reads the table again when the history is lost', async () => {
     await withWatcher(async (store, watcher, clock) => {
       store.put(TABLE, 'a', 'one');
