Assume no spread of processing times before there are samples

A first burst at servers without samples was refused where the mean that is assumed for them fitted the goal: an assumed spread of half the mean came on top.

--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -18,8 +18,8 @@
  * long-term time restarts from the recent one.
  */
 const LONG_TERM_RESET_FACTOR = 1.8;
-/** Deviation of processing times assumed before the first sample, relative to the processing time. */
-const INITIAL_DEVIATION_RATIO = 0.5;
+/** Samples from which on the smoothed deviation says how quick requests can be. */
+const MIN_DEVIATION_SAMPLES = 10;
 /** Number of mean deviations above the average below which nine of ten processing times are. */
 const LIKELY_DEVIATIONS = 1.5;
 /** Weight of a new attempt in the smoothed failure rate. */
@@ -56,7 +56,7 @@
   readonly #attempts = new Map<string, Attempt>();
   #smoothedMilliseconds: number;
   /** Smoothed absolute deviation of a processing time from the smoothed one. */
-  #deviationMilliseconds: number;
+  #deviationMilliseconds = 0;
   #longTermMilliseconds = 0;
   #sampleCount = 0;
   #failureRate = 0;
@@ -78,7 +78,6 @@
     this.availabilityZone = server.availabilityZone;
     this.slots = server.slots;
     this.#smoothedMilliseconds = initialMilliseconds;
-    this.#deviationMilliseconds = INITIAL_DEVIATION_RATIO * initialMilliseconds;
     this.#coldStart = new ColdStartLimit(server.coldStart);
     this.#pace = pace;
     this.extendWarmup(server.warmupMilliseconds, now);
@@ -100,8 +99,11 @@
     return this.expectedMilliseconds(now) + LIKELY_DEVIATIONS * this.#deviationMilliseconds * factor;
   }
 
-  /** Time within which about one of five requests is processed, in milliseconds. */
+  /** Time within which few requests are processed, in milliseconds; 0 while there are too few samples. */
   quickMilliseconds(now: number): number {
+    if (this.#sampleCount < MIN_DEVIATION_SAMPLES) {
+      return 0;
+    }
     return Math.max(0, this.expectedMilliseconds(now) - this.#deviationMilliseconds);
   }
 
