Refuse datagrams that declare more than they hold

One datagram of 25 bytes ended the process: five nested arrays, each declaring millions of elements, which the decoder allocates before it reads them. Another one of 60 kB with 689 compressed messages blocked the event loop for 1.1 s.

Bytes are now checked before they are decoded: all values that are still to come have to fit into the bytes that are left, so a decoder allocates no more than a datagram's size. A datagram with more messages than any sender puts into one is ignored before they are decompressed.

--- a/packages/entryVm/src/common/datagramQueue.ts
+++ b/packages/entryVm/src/common/datagramQueue.ts
@@ -1,3 +1,4 @@
+import { MAX_MESSAGES_PER_DATAGRAM } from './peerCodec.js';
 import type { EncodedMessage } from './peerMessage.js';
 
 /** Messages that go to one entry VM in one datagram. */
@@ -13,8 +14,6 @@
 
 /** Keeps a datagram within one packet, beside its sender. A larger message goes alone. */
 const MAX_DATAGRAM_BYTES = 1_200;
-/** The head of a datagram has one byte for the number of its messages up to this. */
-const MAX_MESSAGES_PER_DATAGRAM = 15;
 /** A duplicate does not travel this soon after its message, in milliseconds: what loses one packet loses its neighbours. */
 const MIN_DUPLICATE_MILLISECONDS = 10;
 
--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -1,5 +1,9 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Decoder, Encoder } from '@msgpack/msgpack';
+import { isPlausibleMessagePack } from './messagePackCheck.js';
+
+/** Messages in one datagram; the array of them has a length of one byte. */
+export const MAX_MESSAGES_PER_DATAGRAM = 15;
 
 /** Kept, because each allocates buffers. */
 const encoder = new Encoder();
@@ -239,10 +243,15 @@
   return bytes.length < message.length ? bytes : message;
 }
 
+/** @throws an error of the decoder. @returns undefined for bytes that declare more than they hold. */
+function decodeValue(bytes: Uint8Array): unknown {
+  return isPlausibleMessagePack(bytes) ? decoder.decode(bytes) : undefined;
+}
+
 /** @throws an error of the decoder, or of the decompression for bytes that are too many or damaged. */
 function decompressed(message: unknown): unknown {
   return message instanceof Uint8Array
-    ? decoder.decode(inflateRawSync(message, { maxOutputLength: MAX_DECOMPRESSED_BYTES }))
+    ? decodeValue(inflateRawSync(message, { maxOutputLength: MAX_DECOMPRESSED_BYTES }))
     : message;
 }
 
@@ -282,7 +291,7 @@
   format: number,
   sourceAddress: string,
 ): UncheckedDatagram | undefined {
-  const value = decoder.decode(bytes);
+  const value = decodeValue(bytes);
   if (!Array.isArray(value)) {
     return undefined;
   }
@@ -290,6 +299,10 @@
   if (actualFormat !== format || rest.length > 0 || !Array.isArray(messages)) {
     return undefined;
   }
+  // Bounds the time for their decompression.
+  if (messages.length > MAX_MESSAGES_PER_DATAGRAM) {
+    return undefined;
+  }
   const from = typeof sentFrom === 'string' && sentFrom.endsWith('@') ? sentFrom + sourceAddress : sentFrom;
   const incarnation = decodeIncarnation(sentIncarnation);
   return {
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -2,6 +2,8 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
+import { isPlausibleMessagePack } from '../messagePackCheck.js';
+import { MAX_MESSAGES_PER_DATAGRAM } from '../peerCodec.js';
 import { decodeDatagram, encodeDatagram, encodeMessage, type PeerMessage } from '../peerMessage.js';
 
 const SEED = 20261206;
@@ -251,6 +253,23 @@
     }
   });
 
+  it('is ignored when it declares more elements than it holds', () => {
+    const nested = Buffer.concat(Array.from({ length: 5 }, () => Buffer.of(0xdd, 0, 0x40, 0, 0)));
+    assert.is(isPlausibleMessagePack(nested), false);
+    assert.is(decodeDatagram(nested, ADDRESS), undefined);
+    const content = deflateRawSync(nested);
+    const head = Buffer.from(encodeDatagram(SENDER, ADDRESS, []));
+    const bytes = Buffer.concat([head.subarray(0, -1), Buffer.of(0x91, 0xc4, content.length), content]);
+    assert.is(decodeDatagram(bytes, ADDRESS), undefined);
+  });
+
+  it('is ignored when it has more messages than any sender puts into one', () => {
+    const waiting: PeerMessage = { type: 'waiting', id: 'x' };
+    const full = Array.from({ length: MAX_MESSAGES_PER_DATAGRAM }, () => waiting);
+    assert.is(decodeDatagram(datagramOf(...full), ADDRESS)?.messages.length, MAX_MESSAGES_PER_DATAGRAM);
+    assert.is(decodeDatagram(datagramOf(...full, waiting), ADDRESS), undefined);
+  });
+
   it('of a version that writes JSON is ignored', () => {
     const json = JSON.stringify({
       from: SENDER.id,
