Free the memory of a body before its response is held, and disconnect stalled readers

Callers got a cut response although they read it, or 503 `memory` for as long as others did not read theirs (found in review of the memory budget of this change, each reproduced there): a request's own body displaced its response; a body without a length was counted twice until its outcome was known; and a response that nobody took was held without a limit in time.

The body's memory is released when the outcome is known, before the response is written; joining a body of chunks gives back what it took for a moment; a caller that takes nothing for 10 s is disconnected (`stalled-reader-disconnected`), where a slow one that makes progress is not.

Open, as before: a response that does not fit beside bodies that are being uploaded is cut although its caller reads.

--- a/packages/connection/src/common/memoryBudget.ts
+++ b/packages/connection/src/common/memoryBudget.ts
@@ -10,20 +10,18 @@
   readonly bytes: number;
   /** Reserves further bytes. @returns false, without any change, if they do not fit. */
   tryGrow(bytes: number): boolean;
+  /** Releases a part of the bytes. */
+  shrink(bytes: number): void;
 }
 
 class BudgetReservation implements MemoryReservation {
   readonly #reserve: (bytes: number) => boolean;
-  readonly #release: (reservation: BudgetReservation) => void;
+  readonly #release: (bytes: number) => void;
   /** Discards what the reservation is for, if that can be displaced. */
   readonly discard: (() => void) | undefined;
   bytes = 0;
 
-  constructor(
-    reserve: (bytes: number) => boolean,
-    release: (reservation: BudgetReservation) => void,
-    discard?: () => void,
-  ) {
+  constructor(reserve: (bytes: number) => boolean, release: (bytes: number) => void, discard?: () => void) {
     this.#reserve = reserve;
     this.#release = release;
     this.discard = discard;
@@ -37,9 +35,13 @@
     return true;
   }
 
+  shrink(bytes: number): void {
+    this.bytes -= bytes;
+    this.#release(bytes);
+  }
+
   dispose(): void {
-    this.#release(this);
-    this.bytes = 0;
+    this.shrink(this.bytes);
   }
 }
 
@@ -69,7 +71,7 @@
     const reservation: BudgetReservation = new BudgetReservation(
       (more) => this.#tryReserve(more, reservation.bytes + more),
       (released) => {
-        this.#usedBytes -= released.bytes;
+        this.#usedBytes -= released;
       },
     );
     return reservation.tryGrow(bytes) ? reservation : undefined;
@@ -81,11 +83,11 @@
    * @param discard frees the bytes.
    */
   hold(bytes: number, discard: () => void): MemoryReservation {
-    const reservation = new BudgetReservation(
+    const reservation: BudgetReservation = new BudgetReservation(
       () => false,
       (released) => {
-        if (this.#displaceable.delete(released)) {
-          this.#usedBytes -= released.bytes;
+        if (this.#displaceable.delete(reservation)) {
+          this.#usedBytes -= released;
         }
       },
       discard,
--- a/packages/entryVm/src/node/callerServer.ts
+++ b/packages/entryVm/src/node/callerServer.ts
@@ -28,6 +28,8 @@
 /** Idle timeout of connections until a configuration has been loaded. */
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 15_000;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Time after which a caller is disconnected that takes nothing of its response, in milliseconds. */
+const STALLED_READER_MILLISECONDS = 10_000;
 /** Delay before a request whose body does not fit into memory is worth another try, in milliseconds. */
 const NO_MEMORY_RETRY_AFTER_MILLISECONDS = 500;
 /** Time for which the rest of a refused body is discarded before its connection is closed, in milliseconds. */
@@ -52,6 +54,8 @@
   readonly onDidComplete: (completed: CompletedRequest) => void;
   /** Bounds the bodies of requests and responses that are held. */
   readonly memory: MemoryBudget;
+  /** Time after which a caller is disconnected that takes nothing of its response, in milliseconds; 10 s by default. */
+  readonly stalledReaderMilliseconds?: number;
   readonly logger: Logger;
 }
 
@@ -176,7 +180,7 @@
       return;
     }
     try {
-      await this.#run(message, response, id, match, body.body, arrivedAt, callerAbort.signal);
+      await this.#run(message, response, id, match, body, arrivedAt, callerAbort.signal);
     } finally {
       body.memory.dispose();
     }
@@ -187,7 +191,7 @@
     response: ServerResponse,
     id: string,
     match: RouteMatch,
-    body: Buffer,
+    { body, memory }: Extract<BodyResult, { kind: 'read' }>,
     arrivedAt: number,
     signal: AbortSignal,
   ): Promise<void> {
@@ -198,6 +202,8 @@
       return;
     }
     const outcome = await this.#options.dispatch(request);
+    // The body is not sent any more, and must not displace the response.
+    memory.dispose();
     const status = this.#respond(response, request, outcome);
     this.#complete(id, match, status, outcome, request.key, arrivedAt, request.goalAt - arrivedAt);
   }
@@ -438,6 +444,13 @@
       });
       response.destroy();
     });
+    response.setTimeout(this.#options.stalledReaderMilliseconds ?? STALLED_READER_MILLISECONDS, () => {
+      this.#options.logger.log('warn', 'stalled-reader-disconnected', {
+        request: firstHeaderValue(response.req.headers, this.#options.protocol.requestIdHeader),
+        bytes,
+      });
+      response.destroy();
+    });
     response.once('close', () => {
       memory.dispose();
     });
--- a/packages/entryVm/src/node/requestBody.ts
+++ b/packages/entryVm/src/node/requestBody.ts
@@ -87,7 +87,9 @@
       if (declaredBytes === undefined && !memory.tryGrow(buffer.length)) {
         finish({ kind: 'no-memory', bytes: buffer.length });
       } else {
-        finish({ kind: 'read', body: buffer.join(), memory });
+        const body = buffer.join();
+        memory.shrink(memory.bytes - body.length);
+        finish({ kind: 'read', body, memory });
       }
     });
     message.once('close', () => {
@@ -123,6 +125,8 @@
   }
 
   join(): Buffer {
-    return this.#buffer ?? Buffer.concat(this.#chunks, this.#length);
+    const body = this.#buffer ?? Buffer.concat(this.#chunks, this.#length);
+    this.#chunks.length = 0;
+    return body;
   }
 }
--- a/packages/entryVm/src/node/test/heldBodies.test.ts
+++ b/packages/entryVm/src/node/test/heldBodies.test.ts
@@ -11,6 +11,7 @@
 
 const MEGABYTE = 1_000_000;
 const TIMEOUT_MILLISECONDS = 600;
+const STALLED_READER_MILLISECONDS = 800;
 
 const routes = new RouteTable({
   revision: 1,
@@ -66,6 +67,7 @@
     },
     onDidComplete: () => undefined,
     memory,
+    stalledReaderMilliseconds: STALLED_READER_MILLISECONDS,
     logger: {
       log: (_level, event, fields = {}) => {
         logged.push({ event, fields });
@@ -181,4 +183,57 @@
         );
       },
     ));
+
+  it('does not count the body of a request any more when its response is written', () =>
+    withServer(
+      20 * MEGABYTE,
+      () => Promise.resolve(Buffer.alloc(12 * MEGABYTE)),
+      async ({ logged, open }) => {
+        const socket = open();
+        socket.write(head('large', `content-length: ${(12 * MEGABYTE).toString()}\r\nconnection: close`));
+        const response = readAll(socket);
+        socket.write(Buffer.alloc(12 * MEGABYTE));
+        assert.ok((await response).text.length > 12 * MEGABYTE);
+        assert.equal(logged, []);
+      },
+    ));
+
+  it('counts a body without a length once, when it is complete', () => {
+    let usedBytes = (): number => 0;
+    const atDispatch: number[] = [];
+    const respond = (): Promise<Buffer> => {
+      atDispatch.push(usedBytes());
+      return respondAtOnce();
+    };
+    return withServer(10 * MEGABYTE, respond, async ({ memory, open }) => {
+      usedBytes = () => memory.usedBytes;
+      const socket = open();
+      const response = readAll(socket);
+      socket.write(head('chunked', 'transfer-encoding: chunked\r\nconnection: close'));
+      socket.write(
+        Buffer.concat([Buffer.from('f4240\r\n'), Buffer.alloc(MEGABYTE), Buffer.from('\r\n0\r\n\r\n')]),
+      );
+      assert.match((await response).text, /^HTTP\/1.1 200 /);
+      assert.equal(atDispatch, [MEGABYTE]);
+    });
+  });
+
+  it('disconnects a caller that takes nothing of its response', () =>
+    withServer(
+      20 * MEGABYTE,
+      () => Promise.resolve(Buffer.alloc(15 * MEGABYTE)),
+      async ({ memory, logged, open }) => {
+        const socket = open();
+        socket.pause();
+        socket.write(head('stalled', 'content-length: 0'));
+        await wait(100);
+        assert.is(memory.usedBytes, 15 * MEGABYTE);
+        await wait(4 * STALLED_READER_MILLISECONDS);
+        assert.is(memory.usedBytes, 0);
+        assert.equal(
+          logged.map(({ event }) => event),
+          ['stalled-reader-disconnected'],
+        );
+      },
+    ));
 });
