Go back to expected times for the admission of requests

A rule that helps callers only for goals far above the processing time needs a measure of its own range first.

--- a/packages/dispatch/src/common/serverPace.ts
+++ b/packages/dispatch/src/common/serverPace.ts
@@ -182,13 +182,8 @@
     const isUnreported = this.#unreported !== undefined;
     this.#unreported = undefined;
     if (!isUnreported || reason === 'ejected') {
-      this.#onDidChange({
-        reason,
-        before,
-        limit: this.limit,
-        milliseconds: this.#milliseconds === undefined ? undefined : Math.round(this.#milliseconds),
-        peerMilliseconds: peerMilliseconds === undefined ? undefined : Math.round(peerMilliseconds),
-      });
+      const milliseconds = this.#milliseconds;
+      this.#onDidChange({ reason, before, limit: this.limit, milliseconds, peerMilliseconds });
     }
   }
 }
--- a/packages/dispatch/src/common/serverPlacement.ts
+++ b/packages/dispatch/src/common/serverPlacement.ts
@@ -16,7 +16,7 @@
 
 /** Whether a server can be sent another request now. */
 export function hasCapacity(server: ServerStatistics, now: number): boolean {
-  return server.expectedRequests(now) < server.slots + QUEUED_PER_SERVER && server.requestsAdmitted(now) >= 1;
+  return server.inFlight < server.slots + QUEUED_PER_SERVER && server.requestsAdmitted(now) >= 1;
 }
 
 /** Bytes of a request and its response from which links of a bandwidth are scarce. */
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -18,10 +18,6 @@
  * long-term time restarts from the recent one.
  */
 const LONG_TERM_RESET_FACTOR = 1.8;
-/** Samples from which on the smoothed deviation says how quick requests can be. */
-const MIN_DEVIATION_SAMPLES = 10;
-/** Number of mean deviations above the average below which nine of ten processing times are. */
-const LIKELY_DEVIATIONS = 1.5;
 /** Weight of a new attempt in the smoothed failure rate. */
 const FAILURE_SMOOTHING = 0.2;
 /** Factor by which a server is slower while it warms up. */
@@ -55,8 +51,6 @@
   /** Attempts in flight, the oldest first. */
   readonly #attempts = new Map<string, Attempt>();
   #smoothedMilliseconds: number;
-  /** Smoothed absolute deviation of a processing time from the smoothed one. */
-  #deviationMilliseconds = 0;
   #longTermMilliseconds = 0;
   #sampleCount = 0;
   #failureRate = 0;
@@ -93,20 +87,6 @@
     return this.#smoothedMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
   }
 
-  /** Time within which about nine of ten requests are processed, in milliseconds. */
-  likelyMilliseconds(now: number): number {
-    const factor = this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1;
-    return this.expectedMilliseconds(now) + LIKELY_DEVIATIONS * this.#deviationMilliseconds * factor;
-  }
-
-  /** Time within which few requests are processed, in milliseconds; 0 while there are too few samples. */
-  quickMilliseconds(now: number): number {
-    if (this.#sampleCount < MIN_DEVIATION_SAMPLES) {
-      return 0;
-    }
-    return Math.max(0, this.expectedMilliseconds(now) - this.#deviationMilliseconds);
-  }
-
   /** Average processing time over the last requests; undefined before the first sample. */
   longTermProcessingTime(now: number): ProcessingTimeEstimate | undefined {
     const requestsPerSecond = this.requestsPerSecond(now);
@@ -272,8 +252,6 @@
   }
 
   #addSample(milliseconds: number): void {
-    const deviation = Math.abs(milliseconds - this.#smoothedMilliseconds);
-    this.#deviationMilliseconds += PROCESSING_TIME_SMOOTHING * (deviation - this.#deviationMilliseconds);
     this.#smoothedMilliseconds += PROCESSING_TIME_SMOOTHING * (milliseconds - this.#smoothedMilliseconds);
     this.#sampleCount = Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
     this.#longTermMilliseconds += (milliseconds - this.#longTermMilliseconds) / this.#sampleCount;
--- a/packages/dispatch/src/common/serviceCapacity.ts
+++ b/packages/dispatch/src/common/serviceCapacity.ts
@@ -2,7 +2,7 @@
 
 /** Capacity of the servers that can run a request. */
 export interface ServiceCapacity {
-  /** Requests at the servers, and slots that are busy or can be used within the rates and paces of servers. */
+  /** Attempts in flight, and slots that are busy or can be used within the rates and paces of servers. */
   inFlight: number;
   slots: number;
   /** Requests per millisecond that can start while all slots are busy. */
@@ -21,9 +21,8 @@
 export function addServer(capacity: ServiceCapacity, server: ServerStatistics, now: number): void {
   const milliseconds = server.expectedMilliseconds(now);
   const requestsPerSecond = server.requestsPerSecond(now) ?? Number.POSITIVE_INFINITY;
-  const requests = server.expectedRequests(now);
-  capacity.inFlight += requests;
-  capacity.slots += Math.min(server.slots, requests + server.requestsAdmitted(now));
+  capacity.inFlight += server.inFlight;
+  capacity.slots += Math.min(server.slots, server.inFlight + server.requestsAdmitted(now));
   capacity.completionRate += Math.min(server.slotsWithinPace / milliseconds, requestsPerSecond / 1_000);
   capacity.totalMilliseconds += milliseconds;
   capacity.servers += 1;
--- a/packages/dispatch/src/common/slotQueue.ts
+++ b/packages/dispatch/src/common/slotQueue.ts
@@ -10,7 +10,7 @@
 
 /**
  * Requests that wait for the same slots, in the order in which they get them: by rank, then those that can still meet
- * their goal, the earliest goal first. Methods take the time before which goals can no longer be met. Load pattern: callers that were refused in a surge return while new ones keep
+ * their goal, the earliest goal first. Load pattern: callers that were refused in a surge return while new ones keep
  * arriving. The goal of a caller counts from its first attempt, so a returning caller is ahead of new ones.
  */
 export class SlotQueue {
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -133,7 +133,7 @@
       return [refusal];
     }
     const key = request.serverId ?? POOL;
-    this.#queueFor(key).add(request, this.#lateBefore(key, now));
+    this.#queueFor(key).add(request, now);
     this.#queueKeys.set(request.id, key);
     return this.#processQueue(key, now);
   }
@@ -213,8 +213,7 @@
     if (server === undefined || server.isEjected(now)) {
       return decisions;
     }
-    const lateBefore = this.#lateBefore(serverId, now);
-    for (let first = queue.first(lateBefore); first !== undefined; first = queue.first(lateBefore)) {
+    for (let first = queue.first(now); first !== undefined; first = queue.first(now)) {
       if (!hasCapacity(server, now)) {
         break;
       }
@@ -307,17 +306,11 @@
     return best;
   }
 
-  /** Goals before this time will hardly be met: such requests wait behind those that can still meet theirs. */
-  #lateBefore(key: string, now: number): number {
-    return now + (this.#servers.get(key)?.quickMilliseconds(now) ?? 0);
-  }
-
   /** Number of queued requests that get a slot before a new one. */
   #countAhead(request: SlotRequest, now: number): number {
     if (request.serverId !== undefined) {
       const pool = this.#queues.get(POOL)?.countAhead(request, now) ?? 0;
-      const lateBefore = this.#lateBefore(request.serverId, now);
-      return pool + (this.#queues.get(request.serverId)?.countAhead(request, lateBefore) ?? 0);
+      return pool + (this.#queues.get(request.serverId)?.countAhead(request, now) ?? 0);
     }
     let count = 0;
     for (const queue of this.#queues.values()) {
@@ -334,9 +327,7 @@
     const wait = waitMilliseconds(capacity, this.#countAhead(request, now));
     const processing = processingMilliseconds(capacity);
     const endsAt = now + wait + processing;
-    // Processing times vary: behind others, a request that meets its goal only on average would make later ones late.
-    const likely = wait > 0 ? this.#servers.get(request.serverId)?.likelyMilliseconds(now) : undefined;
-    if (now + wait + (likely ?? processing) <= request.goalAt && endsAt <= request.deadlineAt) {
+    if (endsAt <= Math.min(request.goalAt, request.deadlineAt)) {
       return undefined;
     }
     const isWaitAcceptable =
--- a/packages/dispatch/src/common/statedLoadEstimate.ts
+++ b/packages/dispatch/src/common/statedLoadEstimate.ts
@@ -7,9 +7,8 @@
 
 /**
  * What a server last stated about its load. Load pattern: servers share their machines with others, so that work takes
- * several times longer for a few tenths of a second; and several coordinators send to the same server at once, because one
- * of them was suspected to be unresponsive. It counts for the next decisions only, and the less the older it is: estimates
- * over many requests must not follow it.
+ * several times longer for a few tenths of a second. It counts for the choice of a server only, and the less the older
+ * it is: estimates over many requests must not follow it.
  */
 export class StatedLoadEstimate {
   #workFactor = 1;
