Remember the requests of a server that is removed and comes back

A removed server's statistics are kept while attempts are in flight, and used again if the same incarnation comes back. The new test failed before.

--- a/packages/dispatch/src/common/schedulableServers.ts
+++ b/packages/dispatch/src/common/schedulableServers.ts
@@ -21,12 +21,16 @@
   readonly serverId: string;
 }
 
+interface KnownServer {
+  readonly statistics: ServerStatistics;
+  readonly incarnation: number;
+}
+
 /** The servers of one service and their statistics, which last for an incarnation. */
 export class SchedulableServers {
-  readonly #servers = new Map<
-    string,
-    { readonly statistics: ServerStatistics; readonly incarnation: number }
-  >();
+  readonly #servers = new Map<string, KnownServer>();
+  /** Servers that were removed while attempts were in flight. They may come back, with these attempts still running. */
+  readonly #removed = new Map<string, KnownServer>();
   readonly #onDidChangePace: (change: ServerPaceChange) => void;
 
   readonly #createPace: PaceFactory;
@@ -63,10 +67,12 @@
     const isRunning = this.#servers.size > 0;
     const ids = new Set(servers.map(({ id }) => id));
     const removed = [...this.#servers.keys()].filter((known) => !ids.has(known));
-    removed.forEach((id) => this.#servers.delete(id));
+    this.#remove(removed);
     for (const server of servers) {
-      const known = this.#servers.get(server.id);
+      const known = this.#servers.get(server.id) ?? this.#removed.get(server.id);
       if (known?.incarnation === server.incarnation) {
+        this.#servers.set(server.id, known);
+        this.#removed.delete(server.id);
         known.statistics.extendWarmup(server.warmupMilliseconds, now);
       } else {
         const { id, incarnation, warmupMilliseconds } = server;
@@ -75,6 +81,7 @@
         });
         const statistics = new ServerStatistics(server, initialMilliseconds, now, pace);
         this.#servers.set(id, { statistics, incarnation });
+        this.#removed.delete(id);
         if (known !== undefined || (isRunning && warmupMilliseconds > 0)) {
           statistics.startSlowly(now);
         }
@@ -83,6 +90,21 @@
     return removed;
   }
 
+  #remove(ids: readonly string[]): void {
+    for (const id of ids) {
+      const known = this.#servers.get(id);
+      this.#servers.delete(id);
+      if (known !== undefined) {
+        this.#removed.set(id, known);
+      }
+    }
+    for (const [id, { statistics }] of this.#removed) {
+      if (statistics.inFlight === 0) {
+        this.#removed.delete(id);
+      }
+    }
+  }
+
   /** The servers that may get a request, ejected ones only if there are no others. */
   usable({ excludedIds }: Pick<SlotRequest, 'excludedIds'>, now: number): readonly ServerStatistics[] {
     const all = this.all();
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -40,6 +40,18 @@
 }
 
 describe('slots of a service', () => {
+  describe('when a server is removed and comes back while it still runs requests', () => {
+    it('count these requests', () => {
+      const scheduler = createScheduler(createServer('one'));
+      fill(scheduler);
+      scheduler.setServers([], 100);
+      scheduler.setServers([createServer('one')], 200);
+      assert.equal(scheduler.submit(slotRequest('more'), 200), []);
+      const [decision] = scheduler.finish('busy-0', 'answered', 300);
+      assert.is(decision?.kind, 'granted');
+    });
+  });
+
   describe('under normal load', () => {
     it('are granted at the server with the fewest requests', () => {
       const scheduler = createScheduler(createServer('one'), createServer('two'));
