Plan only moves out of an evacuated zone that can start

Owners in an evacuated zone kept their keys past the time in which they may serve them when others of the zone did not respond: the planner counted the ranges of those again in each round, up to the limit of a round and of the receivers' headroom, although their leases were already being revoked (found in review). The log counted these moves as started.

Only ranges that can be moved now are planned; the others follow the revocation of their lease. The new test failed before (23 moves planned, 2 started).

--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -200,9 +200,12 @@
       return;
     }
     const evacuatedIds = new Set(evacuated.map(({ id }) => id));
+    const ranges = this.#rangesAfterMoves(
+      (lease) => this.#destinations.has(lease) || !evacuatedIds.has(lease.range.ownerId) || canMove(lease),
+    );
     const moves = this.#evacuationRounds.nextMoves(
       now,
-      this.#rangesAfterMoves(),
+      ranges,
       evacuatedIds,
       this.#readyServers(),
       this.#options.traffic,
@@ -236,8 +239,8 @@
   }
 
   /** Ranges with the owners that they have once the moves in progress are complete. */
-  #rangesAfterMoves(): readonly OwnedRange[] {
-    return this.#leases.map((lease) => {
+  #rangesAfterMoves(isIncluded: (lease: RangeLease) => boolean = () => true): readonly OwnedRange[] {
+    return this.#leases.filter(isIncluded).map((lease) => {
       const destination = this.#destinations.get(lease);
       return destination === undefined ? lease.range : { ...lease.range, ownerId: destination };
     });
@@ -246,7 +249,7 @@
   /** Splits off the moving part of a range and revokes its lease. The remaining parts keep their lease and fence. */
   #startMove({ from, to, newOwnerId }: PlannedMove): void {
     const lease = this.#leases.find(({ range }) => range.from <= from && to <= range.to);
-    if (lease?.goal !== 'renew' || !lease.isConfirmed || lease.isInFlight) {
+    if (lease === undefined || !canMove(lease)) {
       return;
     }
     const { range } = lease;
@@ -344,11 +347,9 @@
   }
 
   #canMerge(left: RangeLease, right: RangeLease): boolean {
-    const isSettled = [left, right].every(
-      (lease) => lease.goal === 'renew' && lease.isConfirmed && !lease.isInFlight,
-    );
     return (
-      isSettled &&
+      canMove(left) &&
+      canMove(right) &&
       left.range.to + 1 === right.range.from &&
       left.range.ownerId === right.range.ownerId &&
       left.range.ownerIncarnation === right.range.ownerIncarnation &&
@@ -494,6 +495,11 @@
   };
 }
 
+/** Whether the range may be split, moved or merged now. */
+function canMove({ goal, isConfirmed, isInFlight }: RangeLease): boolean {
+  return goal === 'renew' && isConfirmed && !isInFlight;
+}
+
 function incarnationKey({ id, incarnation }: CandidateServer): string {
   return `${id}/${incarnation.toString()}`;
 }
--- a/packages/keyOwnership/src/common/test/keyAssigner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyAssigner.test.ts
@@ -108,6 +108,26 @@
     });
   });
 
+  describe('when a zone is evacuated of which a part does not respond', () => {
+    it('plans no moves that cannot start', async () => {
+      await withKeyAssignerRig(SERVER_IDS, async (rig) => {
+        await rig.advance(5_000);
+        rig.setCutOff('server-1', true);
+        await rig.advance(2_000);
+        rig.register('server-1', 'evacuated');
+        rig.register('server-2', 'evacuated');
+        await rig.advance(1_500);
+        const planned = rig.trace
+          .filter((line) => line.includes(' evacuation-round '))
+          .map((line) => Number(/"moves":(\d+)/.exec(line)?.[1]))
+          .reduce((sum, moves) => sum + moves, 0);
+        const started = rig.trace.filter((line) => line.includes('ownership transfer')).length;
+        assert.is(planned, started, rig.trace.join('\n'));
+        assert.ok(rig.assigner.leases.every(({ range }) => range.ownerId !== 'server-2'));
+      });
+    });
+  });
+
   describe('under random orders of renewals and of delayed and retried writes', () => {
     it('gives no key two holders', async () => {
       await fc.assert(
