Bound the keys of a cold server whose rate is estimated below what it bears

A cold server could get half of the widest range of keys: its estimated rate is what one coordinator may send it, and where that was below the stated rate, the bound counted as reached.

--- a/packages/entryVm/src/common/coldStartBound.ts
+++ b/packages/entryVm/src/common/coldStartBound.ts
@@ -16,5 +16,6 @@
 ): number | undefined {
   const doublings = Math.max(0, Math.floor((milliseconds - warmupMilliseconds) / DOUBLING_MILLISECONDS));
   const bound = requestsPerSecond * 2 ** doublings;
-  return bound < fullRequestsPerSecond ? bound : undefined;
+  // The rate of a cold server can be estimated at less than it bears.
+  return doublings === 0 || bound < fullRequestsPerSecond ? bound : undefined;
 }
