Apply a changed rate of cold servers to those that are known

A configuration that begins to state, changes or removes the rate of cold servers had no effect on servers that were known already: their statistics kept the budget of their creation (found in review; 20 of 20 requests granted at once). The new test failed before.

--- a/packages/dispatch/src/common/coldStartLimit.ts
+++ b/packages/dispatch/src/common/coldStartLimit.ts
@@ -35,7 +35,7 @@
  * server lately starts from zero, since another one may have spent its own.
  */
 export class ColdStartLimit {
-  readonly #budget: ColdStartBudget | undefined;
+  #budget: ColdStartBudget | undefined;
   #endsAt = Number.NEGATIVE_INFINITY;
   #available = 0;
   #countedAt = Number.NEGATIVE_INFINITY;
@@ -45,6 +45,11 @@
     this.#budget = budget;
   }
 
+  /** Replaces the budget, after a change of the configuration. */
+  setBudget(budget: ColdStartBudget | undefined): void {
+    this.#budget = budget;
+  }
+
   /** Records for how long the server stays cold. */
   recordWarmup(milliseconds: number, now: number): void {
     this.#endsAt = now + milliseconds;
--- a/packages/dispatch/src/common/schedulableServers.ts
+++ b/packages/dispatch/src/common/schedulableServers.ts
@@ -73,6 +73,7 @@
       if (known?.incarnation === server.incarnation) {
         this.#servers.set(server.id, known);
         this.#removed.delete(server.id);
+        known.statistics.setColdStart(server.coldStart);
         known.statistics.extendWarmup(server.warmupMilliseconds, now);
       } else {
         const { id, incarnation, warmupMilliseconds } = server;
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -1,4 +1,4 @@
-import { ColdStartLimit } from './coldStartLimit.js';
+import { type ColdStartBudget, ColdStartLimit } from './coldStartLimit.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import type { SchedulableServer } from './schedulableServers.js';
 import type { RequestPace } from './serverPace.js';
@@ -148,6 +148,11 @@
     );
   }
 
+  /** Replaces what the server may be sent while it is cold. */
+  setColdStart(budget: ColdStartBudget | undefined): void {
+    this.#coldStart.setBudget(budget);
+  }
+
   /** Records a time for which the server stays cold, in milliseconds, unless a longer one is known. */
   extendWarmup(milliseconds: number, now: number): void {
     this.#coldStart.extendWarmup(milliseconds, now);
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -52,6 +52,19 @@
     });
   });
 
+  describe('when the configuration begins to state the rate of cold servers', () => {
+    it('keep to it at servers that are known already', () => {
+      const server = { ...createServer('one'), slots: 20 };
+      const scheduler = createScheduler(server);
+      const coldStart = { requestsPerSecond: 2, burst: 1 };
+      scheduler.setServers([{ ...server, warmupMilliseconds: 3_000, coldStart }], 100);
+      const granted = Array.from({ length: 20 }, (_, index) =>
+        scheduler.submit(slotRequest(`r-${index.toString()}`), 100),
+      ).filter(([decision]) => decision?.kind === 'granted');
+      assert.ok(granted.length <= 1, granted.length.toString());
+    });
+  });
+
   describe('under normal load', () => {
     it('are granted at the server with the fewest requests', () => {
       const scheduler = createScheduler(createServer('one'), createServer('two'));
