Move the graceful shutdown and the gauges out of the wiring of an entry VM

The shutdown is a function of its own, with what it needs as options; the gauges are registered in one method. The bound on the keys of a cold server is called so (`coldServerKeyBound`), since the settings have a `coldStartBound` of another kind. No change of behaviour.

--- a/packages/entryVm/src/common/assignableServers.ts
+++ b/packages/entryVm/src/common/assignableServers.ts
@@ -5,7 +5,7 @@
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { AssignablePhase, RegisteredServer } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
-import { coldStartBound } from './coldStartBound.js';
+import { coldServerKeyBound } from './coldServerKeyBound.js';
 import type { ServerRegistry } from './serverRegistry.js';
 import type { ZoneEvacuations } from './zoneEvacuations.js';
 
@@ -78,7 +78,7 @@
     );
     return sinceCold === Number.POSITIVE_INFINITY
       ? undefined
-      : coldStartBound(coldStart, sinceCold, requestsPerSecond);
+      : coldServerKeyBound(coldStart, sinceCold, requestsPerSecond);
   }
 
   /** Time since a server became cold, judged by the warm-up time that it announced; infinite if it announced none. */
--- a/packages/entryVm/src/common/coldStartBound.ts
+++ b/packages/entryVm/src/common/coldServerKeyBound.ts
@@ -9,7 +9,7 @@
  * @param milliseconds time since the server became cold.
  * @returns undefined once the server bears its full rate.
  */
-export function coldStartBound(
+export function coldServerKeyBound(
   { warmupMilliseconds, requestsPerSecond }: ColdStartLimits,
   milliseconds: number,
   fullRequestsPerSecond: number,
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from 'node:crypto';
-import { delay, waitForPendingIo } from '@hickoryhoist/base/common/asynchronous.js';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
@@ -40,6 +39,7 @@
 import { storeCallCause } from '../common/storeCallCause.js';
 import { ZoneEvacuations } from '../common/zoneEvacuations.js';
 import { CallerServer, type CompletedRequest } from './callerServer.js';
+import { shutDownGracefully } from './gracefulShutdown.js';
 import { PeerSocket } from './peerSocket.js';
 import { TableExchange } from './tableExchange.js';
 import { TextServer } from './textServer.js';
@@ -59,20 +59,8 @@
 const ASSIGNMENT_PAUSE_MILLISECONDS = 500;
 const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 const TICK_MILLISECONDS = 50;
-/** Time for which the port stays open after the stop signal; the load balancer notices within 2 to 3 s. */
-const BALANCER_REACTION_MILLISECONDS = 3_300;
-/** Margin between the end of the shutdown and the time at which the process is killed. */
-const STOP_RESERVE_MILLISECONDS = 300;
-const STOP_POLL_MILLISECONDS = 50;
 /** Interval at which the bytes to and from other availability zones are logged. */
 const BYTES_LOG_INTERVAL_MILLISECONDS = 10_000;
-/** Interval at which a late process checks whether its last responses are written. */
-const LATE_POLL_MILLISECONDS = 5;
-/** Time before the end of the shutdown by which the last response must be written: two polls. */
-const LAST_RESPONSE_MILLISECONDS = 2 * STOP_POLL_MILLISECONDS;
-/** Part of the reserve that late responses may not use, so that the process ends by itself. */
-const EXIT_MILLISECONDS = 50;
-
 /** Wires the components of an entry VM together and runs its servers and timers. */
 export class EntryVm extends DisposableBase {
   readonly #settings: EntryVmSettings;
@@ -322,39 +310,18 @@
       return;
     }
     this.#isStopping = true;
-    const startedAt = performance.now();
-    this.#logger.log('info', 'stop-started', { inFlight: this.#callerServer.inFlight });
-    const stopDeadline = startedAt + this.#settings.stopGraceMilliseconds - STOP_RESERVE_MILLISECONDS;
-    this.#callerServer.beginStop(stopDeadline - LAST_RESPONSE_MILLISECONDS);
-    this.#slots.leave();
-    // Both wait for the store. Callers are served in the meantime, also while the store is down.
-    const resignation = Promise.all([this.#keyOwnership.resign(), this.#entryVmRegistry.leave()]);
-    await delay(Math.min(BALANCER_REACTION_MILLISECONDS, this.#settings.stopGraceMilliseconds / 2));
-    // Callers reuse open connections, so a busy process would not become idle before the port is closed.
-    this.#callerServer.stopAccepting();
-    await Promise.race([resignation, delay(Math.max(0, stopDeadline - performance.now()))]);
-    while (performance.now() < stopDeadline && this.#callerServer.inFlight > 0) {
-      await delay(STOP_POLL_MILLISECONDS);
-    }
-    await this.#finishLateRequests(startedAt + this.#settings.stopGraceMilliseconds - EXIT_MILLISECONDS);
-    this.#logger.log('info', 'stopped', {
-      inFlight: this.#callerServer.inFlight,
-      milliseconds: Math.round(performance.now() - startedAt),
+    await shutDownGracefully({
+      callerServer: this.#callerServer,
+      graceMilliseconds: this.#settings.stopGraceMilliseconds,
+      giveUpRoles: async () => {
+        this.#slots.leave();
+        await Promise.all([this.#keyOwnership.resign(), this.#entryVmRegistry.leave()]);
+      },
+      logger: this.#logger,
     });
     this.dispose();
   }
 
-  /**
-   * Waits for requests whose deadline has passed without an outcome. Load pattern: a process that gets little
-   * processor time reaches the end of its shutdown before it has read responses that servers have sent.
-   */
-  async #finishLateRequests(until: number): Promise<void> {
-    while (this.#callerServer.inFlight > 0 && performance.now() < until) {
-      await waitForPendingIo();
-      await delay(LATE_POLL_MILLISECONDS);
-    }
-  }
-
   #connectComponents(): void {
     this.register(
       this.#health.onDidBecomeReachable(() => {
@@ -415,6 +382,10 @@
         clearInterval(bytesTimer);
       }),
     );
+    this.#registerGauges();
+  }
+
+  #registerGauges(): void {
     this.metrics.gauge('hickoryhoist_store_reachable', () => Number(this.#health.isReachable));
     this.metrics.gauge('hickoryhoist_requests_in_flight', () => this.#callerServer.inFlight);
     this.metrics.gauge('hickoryhoist_slots_waiting', () => this.#slots.waiting);
