End an evacuation whose row is gone, whatever unreadable rows remain

A zone stayed evacuated after the operator had deleted its row if an unreadable row had a key with the same end (found in review). The zone of a row is remembered by its key. The new test failed before.

--- a/packages/entryVm/src/common/test/zoneEvacuations.test.ts
+++ b/packages/entryVm/src/common/test/zoneEvacuations.test.ts
@@ -171,6 +171,15 @@
     });
   });
 
+  it('end although an unreadable row has a key that ends like theirs', () => {
+    withScenario((scenario) => {
+      scenario.put('leave/zone-2');
+      scenario.put('leave/other/zone-2', 'unreadable');
+      scenario.delete('leave/zone-2');
+      assert.equal(scenario.evacuations.zones, []);
+    });
+  });
+
   it('neither begin nor end by a row that cannot be read, which is logged once', () => {
     withScenario((scenario) => {
       scenario.put('configuration');
--- a/packages/entryVm/src/common/zoneEvacuations.ts
+++ b/packages/entryVm/src/common/zoneEvacuations.ts
@@ -31,6 +31,8 @@
   readonly #evacuations = new Map<string, Evacuation>();
   /** When evacuations ended that this process has seen, by zone. */
   readonly #endedAt = new Map<string, number>();
+  /** Zones by the key of the last row that could be read. */
+  readonly #zonesByKey = new Map<string, string>();
   /** Versions of rows that could not be read, by key; each is logged once. */
   readonly #unreadable = new Map<string, number>();
   #hasRows = false;
@@ -126,29 +128,26 @@
         const zone = this.#decode(key, row.value);
         if (zone !== undefined) {
           zones.add(zone);
+          this.#zonesByKey.set(key, zone);
         }
       } catch (error) {
-        this.#keepLastReadable(key, zones);
+        // An evacuation in force stays when its row is overwritten with one that cannot be read.
+        const zone = this.#zonesByKey.get(key);
+        if (zone !== undefined && this.#evacuations.has(zone)) {
+          zones.add(zone);
+        }
         if (this.#unreadable.get(key) !== row.version) {
           this.#unreadable.set(key, row.version);
           this.#logger.log('warn', 'evacuation-unreadable', { key, reason: describeError(error) });
         }
       }
     }
-    for (const key of this.#unreadable.keys()) {
+    for (const key of [...this.#unreadable.keys(), ...this.#zonesByKey.keys()]) {
       if (!rows.has(key)) {
         this.#unreadable.delete(key);
+        this.#zonesByKey.delete(key);
       }
     }
     return zones;
   }
-
-  /** An evacuation in force stays when its row is overwritten with one that cannot be read. */
-  #keepLastReadable(key: string, zones: Set<string>): void {
-    for (const zone of this.#evacuations.keys()) {
-      if (key.endsWith(`/${zone}`)) {
-        zones.add(zone);
-      }
-    }
-  }
 }
