--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -150,30 +150,66 @@
   readonly bytes: Uint8Array;
 }
 
-/** Number of this format. Datagrams of other formats are ignored. */
-const FORMAT = 2;
+/** Form of a datagram. Entry VMs read both. */
+export type MessageFormat = 'json' | 'compact';
 
-export function encodeMessage(message: PeerMessage, sender: DatagramSender): EncodedMessage {
-  return { type: message.type, bytes: encodeCompact(message, sender) };
+/** Number of the compact format. Datagrams of other formats are ignored. */
+const COMPACT_FORMAT = 2;
+/** First byte of a datagram in JSON; the compact form is an array and begins otherwise. */
+const JSON_START = '{'.charCodeAt(0);
+/** Bandwidth below which bytes are worth the processor time of the compact form, in Mbit/s. */
+const SCARCE_LINK_MEGABITS_PER_SECOND = 500;
+
+/** The form of the messages that an entry VM sends. Load pattern: small VMs on fast links send many small messages. */
+export function messageFormatFor(linkMegabitsPerSecond: number): MessageFormat {
+  return linkMegabitsPerSecond < SCARCE_LINK_MEGABITS_PER_SECOND ? 'compact' : 'json';
+}
+
+export function encodeMessage(
+  message: PeerMessage,
+  sender: DatagramSender,
+  format: MessageFormat = 'compact',
+): EncodedMessage {
+  switch (format) {
+    case 'compact':
+      return { type: message.type, bytes: encodeCompact(message, sender) };
+    case 'json':
+      return { type: message.type, bytes: Buffer.from(JSON.stringify(message)) };
+  }
 }
 
 /**
- * Combines encoded messages into a datagram.
+ * Combines messages that were encoded in the same form into a datagram.
  * @param sourceAddress IP address from which the datagram is sent.
  */
 export function encodeDatagram(
   sender: DatagramSender,
   sourceAddress: string,
   messages: readonly EncodedMessage[],
+  format: MessageFormat = 'compact',
 ): Uint8Array {
-  const head = encodeDatagramHead(FORMAT, sender, sourceAddress, messages.length);
-  return Buffer.concat([head, ...messages.map(({ bytes }) => bytes)]);
+  switch (format) {
+    case 'compact': {
+      const head = encodeDatagramHead(COMPACT_FORMAT, sender, sourceAddress, messages.length);
+      return Buffer.concat([head, ...messages.map(({ bytes }) => bytes)]);
+    }
+    case 'json': {
+      const { id: from, incarnation } = sender;
+      const head = JSON.stringify({ from, incarnation }).slice(0, -1);
+      const texts = messages.map(({ bytes }) => Buffer.from(bytes).toString('utf8'));
+      return Buffer.from(`${head},"messages":[${texts.join(',')}]}`);
+    }
+  }
 }
 
-/** @returns undefined if the bytes are not a valid datagram of this format. */
+/** @returns undefined if the bytes are not a valid datagram. */
 export function decodeDatagram(bytes: Uint8Array, sourceAddress: string): PeerDatagram | undefined {
   try {
-    return datagramSchema.safeParse(decodeCompact(bytes, FORMAT, sourceAddress)).data;
+    const datagram: unknown =
+      bytes[0] === JSON_START
+        ? JSON.parse(Buffer.from(bytes).toString('utf8'))
+        : decodeCompact(bytes, COMPACT_FORMAT, sourceAddress);
+    return datagramSchema.safeParse(datagram).data;
   } catch {
     return undefined;
   }
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -33,7 +33,7 @@
 import { countServersWithKeys } from '../common/evacuationProgress.js';
 import { KeyOwnershipController } from '../common/keyOwnershipController.js';
 import { NeighbourSelector } from '../common/neighbourSelector.js';
-import type { PeerMessage } from '../common/peerMessage.js';
+import { messageFormatFor, type PeerMessage } from '../common/peerMessage.js';
 import type { PlatformBinding } from '../common/platformBinding.js';
 import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
 import { storeCallCause } from '../common/storeCallCause.js';
@@ -190,9 +190,14 @@
       this.#services(),
     );
     this.#peerSocket = this.register(
-      new PeerSocket(self, settings.peerPort, logger, (otherAddress, kind, bytes) => {
-        this.#bytes.add(kind, this.#entryVmRegistry.availabilityZoneAt(otherAddress), bytes);
-      }),
+      new PeerSocket(
+        { ...self, messageFormat: messageFormatFor(linkMegabitsPerSecond) },
+        settings.peerPort,
+        logger,
+        (otherAddress, kind, bytes) => {
+          this.#bytes.add(kind, this.#entryVmRegistry.availabilityZoneAt(otherAddress), bytes);
+        },
+      ),
     );
     this.#entryVmRegistry = new EntryVmRegistry(self, store, this.#controlRows, logger);
     this.#slots = this.register(
--- a/packages/entryVm/src/node/peerSocket.ts
+++ b/packages/entryVm/src/node/peerSocket.ts
@@ -4,7 +4,13 @@
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { DatagramQueue, type QueuedDatagram } from '../common/datagramQueue.js';
-import { decodeDatagram, encodeDatagram, encodeMessage, type PeerMessage } from '../common/peerMessage.js';
+import {
+  decodeDatagram,
+  encodeDatagram,
+  encodeMessage,
+  type MessageFormat,
+  type PeerMessage,
+} from '../common/peerMessage.js';
 
 /** Counts the bytes of a message, or those that a datagram adds to its messages. */
 export type CountSentBytes = (
@@ -32,6 +38,7 @@
   readonly id: string;
   readonly incarnation: string;
   readonly ipAddress: string;
+  readonly messageFormat?: MessageFormat;
 }
 
 /** UDP socket for messages between entry VMs. Messages sent in one event loop iteration share a datagram. */
@@ -87,12 +94,12 @@
   }
 
   send(ipAddress: string, message: PeerMessage): void {
-    this.#queue.add(ipAddress, encodeMessage(message, this.#self));
+    this.#queue.add(ipAddress, encodeMessage(message, this.#self, this.#self.messageFormat));
     this.#scheduleFlush();
   }
 
   sendToAll(ipAddresses: readonly string[], message: PeerMessage): void {
-    const encoded = encodeMessage(message, this.#self);
+    const encoded = encodeMessage(message, this.#self, this.#self.messageFormat);
     ipAddresses.forEach((ipAddress) => {
       this.#queue.add(ipAddress, encoded);
     });
@@ -101,7 +108,11 @@
 
   /** Sends a message, and a duplicate within 100 ms in case the first datagram is lost. */
   sendWithDuplicate(ipAddress: string, message: PeerMessage): void {
-    this.#queue.addWithDuplicate(ipAddress, encodeMessage(message, this.#self), performance.now());
+    this.#queue.addWithDuplicate(
+      ipAddress,
+      encodeMessage(message, this.#self, this.#self.messageFormat),
+      performance.now(),
+    );
     this.#scheduleFlush();
   }
 
@@ -124,7 +135,7 @@
   }
 
   #sendDatagram({ ipAddress, messages }: QueuedDatagram): void {
-    const bytes = encodeDatagram(this.#self, this.#self.ipAddress, messages);
+    const bytes = encodeDatagram(this.#self, this.#self.ipAddress, messages, this.#self.messageFormat);
     let frameBytes = bytes.length + PACKET_HEADER_BYTES;
     for (const message of messages) {
       this.#countSent(ipAddress, message.type, message.bytes.length);
