Notice servers that leave as fast as before

Cause: the readers read the table of servers in turns of 500 ms, since servers repeat their announcements and a wait for changes returns at once. That saved calls to the store at the price of the delay, on all deployments. The table is waited for again, with its pause of 250 ms after a change; the control table stays with its longer pause.

The calls that this costs were not measured again.

--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -159,8 +159,6 @@
     this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, {
       isRelevantChange: (before, after) =>
         isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
-      // Servers repeat their announcements: a wait would return at once, so the readers read in turns.
-      idlePauseMilliseconds: Number.POSITIVE_INFINITY,
       firstCopySource: () =>
         this.#keyOwnership.isReader ? 'store' : selector.firstCopySource(this.#entryVmRegistry.isSettled),
     });
