Copy less for each request

The check walks the servers again (`SchedulableServers.some`), and the messages are joined as bytes. A comment that had two sentences for one is cut.

--- a/packages/dispatch/src/common/schedulableServers.ts
+++ b/packages/dispatch/src/common/schedulableServers.ts
@@ -115,6 +115,16 @@
     return notEjected.length > 0 ? notEjected : candidates;
   }
 
+  /** Whether a condition holds for any server, without a copy of their list. */
+  some(condition: (server: ServerStatistics) => boolean): boolean {
+    for (const { statistics } of this.#servers.values()) {
+      if (condition(statistics)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   all(): readonly ServerStatistics[] {
     return Array.from(this.#servers.values(), ({ statistics }) => statistics);
   }
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -242,7 +242,7 @@
   }
 
   #hasFreeServer(now: number): boolean {
-    return this.#servers.all().some((server) => hasCapacity(server, now));
+    return this.#servers.some((server) => hasCapacity(server, now));
   }
 
   #refuseHopeless(key: string, queue: SlotQueue, now: number): readonly SlotDecision[] {
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -157,6 +157,8 @@
 const COMPACT_FORMAT = 2;
 /** First byte of a datagram in JSON; the compact form is an array and begins otherwise. */
 const JSON_START = '{'.charCodeAt(0);
+const JSON_COMMA = Buffer.from(',');
+const JSON_END = Buffer.from(']}');
 /** Bandwidth below which bytes are worth the processor time of the compact form, in Mbit/s. */
 const SCARCE_LINK_MEGABITS_PER_SECOND = 500;
 
@@ -196,8 +198,8 @@
     case 'json': {
       const { id: from, incarnation } = sender;
       const head = JSON.stringify({ from, incarnation }).slice(0, -1);
-      const texts = messages.map(({ bytes }) => Buffer.from(bytes).toString('utf8'));
-      return Buffer.from(`${head},"messages":[${texts.join(',')}]}`);
+      const parts = messages.flatMap(({ bytes }, index) => (index === 0 ? [bytes] : [JSON_COMMA, bytes]));
+      return Buffer.concat([Buffer.from(`${head},"messages":[`), ...parts, JSON_END]);
     }
   }
 }
--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -31,7 +31,7 @@
   }
 }
 
-/** Whether a server announces nothing new, or only that its warm-up time passes. Its remaining warm-up time is known from its first announcement. */
+/** Whether a server announces nothing new, or only that its warm-up time passes. */
 function isSameAnnouncement(before: ServerRecord | undefined, after: ServerRecord): boolean {
   return (
     before?.phase === after.phase &&
