--- a/packages/entryVm/src/node/callerServer.ts
+++ b/packages/entryVm/src/node/callerServer.ts
@@ -8,7 +8,7 @@
 import { splitAddress } from '@hickoryhoist/base/common/networkAddress.js';
 import type { MemoryBudget, MemoryReservation } from '@hickoryhoist/connection/common/memoryBudget.js';
 import type { CallerRequest, RequestOutcome } from '@hickoryhoist/dispatch/common/callerRequest.js';
-import type { CallerLimits } from '@hickoryhoist/routing/common/routeConfiguration.js';
+import { type CallerLimits, MAX_HEADER_BYTES } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import type { RouteMatch, RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import type { CallerProtocol } from '../common/callerProtocol.js';
 import { CallerWaitEstimator } from '../common/callerWaitEstimator.js';
@@ -22,7 +22,6 @@
 /** Another entry VM takes the caller's next request at once, in milliseconds. */
 const STOPPING_RETRY_AFTER_MILLISECONDS = 20;
 /** Hard limit for the headers of a request; the configured limit is lower. */
-const MAX_HEADER_BYTES = 65_536;
 /** Limit for receiving a whole request, including its body. */
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
 /** Idle timeout of connections until a configuration has been loaded. */
--- a/packages/routing/src/common/routeConfiguration.ts
+++ b/packages/routing/src/common/routeConfiguration.ts
@@ -46,6 +46,9 @@
   readonly coldStart?: ColdStartLimits | undefined;
 }
 
+/** Bytes of headers that entry VMs accept at most, whatever the configuration allows. */
+export const MAX_HEADER_BYTES = 65_536;
+
 /** Limits on the requests of callers. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
--- a/packages/routing/src/common/routeTable.ts
+++ b/packages/routing/src/common/routeTable.ts
@@ -24,14 +24,15 @@
   }
 
   match(host: string, path: string): RouteMatch | undefined {
-    const route = this.#find(normalizeHost(host), path);
+    const route = this.findRoute(host, path);
     const name = route === undefined ? undefined : this.#roundRobins.get(route)?.next();
     const service = name === undefined ? undefined : this.configuration.services.get(name);
     return route === undefined || service === undefined ? undefined : { route, service };
   }
 
-  #find(host: string, path: string): Route | undefined {
-    const routes = this.#routesByHost.get(host);
+  /** Finds the route without choosing one of its services. */
+  findRoute(host: string, path: string): Route | undefined {
+    const routes = this.#routesByHost.get(normalizeHost(host));
     if (routes === undefined) {
       return undefined;
     }
