Check and compare service files

Service files can satisfy their schema and still contradict themselves: a deadline below the objective, fewer connections than slots, a server of two services, or a prefix that another service has. Operators learned of the last one only when they published, and of the others not at all.

The check asks the matcher of the gateway which service gets the requests of each prefix. A prefix that begins with two slashes was first reported as unmatched; the property test found that a request for `//a//a` matches `//a`, since the first part is read as a host. It is reported as ambiguous.

--- a/packages/gateway/src/node/requestReader.ts
+++ b/packages/gateway/src/node/requestReader.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest } from '../common/callerRequest.js';
 import { MAXIMUM_IDEMPOTENCY_KEY_LENGTH } from '../common/idempotencyKey.js';
 import { type ResponseHeaders, retryableNotRun, type RequestOutcome } from '../common/requestOutcome.js';
+import { parseTarget } from '../common/requestTarget.js';
 import { extractKey, matchService } from '../common/serviceMatcher.js';
 
 /** Result of reading a request: the request, or the outcome of an invalid one unless the caller disconnected. */
@@ -109,12 +110,6 @@
   });
 }
 
-function parseTarget(target: string): URL | undefined {
-  return target.startsWith('/') && URL.canParse(target, 'http://caller')
-    ? new URL(target, 'http://caller')
-    : undefined;
-}
-
 function readDeadline(headers: ResponseHeaders, limitMilliseconds: number): number | undefined {
   const text = firstHeaderValue(headers, headerNames.deadline);
   if (text === undefined) {
