Return the configuration in force to operators

Nobody could ask a running process which configuration it had applied: the store holds the newest row, also when entry VMs refused it or have not read it yet. An entry VM returns the text that it applied last under `GET /configuration`, on the port of its metrics page, with the number of servers that it knows of each service; the daemon of the product's own interface does so on its operator port. It returns 503 before the first configuration. Nothing is computed until it is asked.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,7 +9,7 @@
   configuration: ['base', 'store'],
   ownership: ['base', 'store', 'protocol', 'configuration'],
   gateway: ['base', 'protocol', 'configuration', 'ownership', 'connection'],
-  daemon: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway'],
+  daemon: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway', 'routing'],
   standIns: [
     'base',
     'store',
--- a/packages/daemon/src/node/operatorServer.ts
+++ b/packages/daemon/src/node/operatorServer.ts
@@ -6,11 +6,15 @@
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { EntryVmControl } from '@hickoryhoist/ownership/common/entryVmControl.js';
 import { formatMetrics } from './metricsPage.js';
+import {
+  CONFIGURATION_PATH,
+  type ConfigurationInForce,
+} from '@hickoryhoist/routing/common/configurationInForce.js';
 import type { StatusReader } from './statusReader.js';
 
 const confirmLostSchema = z.strictObject({ entryVmId: z.string().min(1), incarnation: z.string().min(1) });
 
-/** HTTP server for operators: `GET /ready`, `GET /status`, `GET /metrics`, `POST /confirm-lost`. */
+/** HTTP server for operators: `GET /ready`, `GET /status`, `GET /configuration`, `GET /metrics`, `POST /confirm-lost`. */
 export class OperatorServer extends DisposableBase {
   readonly #status: StatusReader;
   readonly #control: EntryVmControl;
@@ -51,6 +55,9 @@
       case 'GET /status':
         writeJson(response, 200, status);
         return;
+      case `GET ${CONFIGURATION_PATH}`:
+        this.#writeConfiguration(response);
+        return;
       case 'GET /metrics':
         response.setHeader('content-type', 'text/plain; charset=utf-8');
         response.end(formatMetrics(status));
@@ -62,10 +69,20 @@
       }
       default:
         writeJson(response, 404, {
-          error: 'not found; available paths: /ready, /status, /metrics, /confirm-lost',
+          error: 'not found; available paths: /ready, /status, /configuration, /metrics, /confirm-lost',
         });
     }
   }
+
+  #writeConfiguration(response: ServerResponse): void {
+    const current = this.#control.configuration.current;
+    if (current === undefined) {
+      writeJson(response, 503, { error: 'no configuration is in force' });
+      return;
+    }
+    const inForce: ConfigurationInForce = { document: JSON.stringify(current.snapshot) };
+    writeJson(response, 200, inForce);
+  }
 }
 
 async function readText(message: IncomingMessage): Promise<string> {
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -11,6 +11,10 @@
 import { RetryBudget } from '@hickoryhoist/dispatch/common/retryBudget.js';
 import { ServerConnectionPool } from '@hickoryhoist/dispatch/node/serverConnectionPool.js';
 import { CONTROL_TABLE, isAssignmentRowKey } from '@hickoryhoist/keyownership/common/assignmentStore.js';
+import {
+  CONFIGURATION_PATH,
+  type ConfigurationInForce,
+} from '@hickoryhoist/routing/common/configurationInForce.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
@@ -42,7 +46,7 @@
 import { shutDownGracefully } from './gracefulShutdown.js';
 import { PeerSocket } from './peerSocket.js';
 import { TableExchange } from './tableExchange.js';
-import { TextServer } from './textServer.js';
+import { type TextResponse, TextServer } from './textServer.js';
 
 /**
  * Duration of a long poll of the control table's feed. A dead connection is noticed only when the poll ends, or by the
@@ -90,6 +94,8 @@
   readonly #readinessServer: TextServer;
   readonly #metricsServer: TextServer;
   #routes: RouteTable | undefined;
+  /** Text of the configuration in force, which may be older than the row in the store. */
+  #configurationDocument: string | undefined;
   #isStopping = false;
   #tickDueAt = performance.now() + TICK_MILLISECONDS;
 
@@ -279,7 +285,11 @@
     );
     this.#metricsServer = this.register(
       new TextServer((path) =>
-        path === '/metrics' ? { status: 200, text: this.#renderMetrics() } : undefined,
+        path === '/metrics'
+          ? { status: 200, text: this.#renderMetrics() }
+          : path === CONFIGURATION_PATH
+            ? this.#renderConfiguration()
+            : undefined,
       ),
     );
     this.#connectComponents();
@@ -455,6 +465,7 @@
         return;
       }
       this.#routes = new RouteTable(configuration);
+      this.#configurationDocument = row.value;
       this.#callerServer.setLimits(configuration.limits);
       this.#logger.log('info', 'configuration-applied', {
         revision: configuration.revision,
@@ -469,6 +480,23 @@
     }
   }
 
+  #renderConfiguration(): TextResponse {
+    if (this.#configurationDocument === undefined) {
+      return { status: 503, text: 'no configuration is in force\n' };
+    }
+    const counts = new Map<string, number>();
+    for (const { service, phase } of this.#serverRegistry.servers.values()) {
+      counts.set(service, (counts.get(service) ?? 0) + (phase === 'ready' ? 1 : 0));
+    }
+    const inForce: ConfigurationInForce = {
+      document: this.#configurationDocument,
+      ...(this.#serverRows.isLoaded
+        ? { servers: [...counts].map(([service, count]) => ({ service, count })) }
+        : {}),
+    };
+    return { status: 200, text: `${JSON.stringify(inForce)}\n` };
+  }
+
   /** Passes the servers of each service that accept requests to the slot schedulers. */
   #updateSlotServers(): void {
     for (const [service, { coldStart }] of this.#services()) {
