--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,7 +26,7 @@
   dispatch: ['base', 'routing', 'connection'],
   keyownership: ['base', 'store'],
   entryvm: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership'],
-  platform: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership', 'entryvm'],
+  platform: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership', 'entryvm', 'daemon'],
   testing: [],
 };
 
--- a/packages/base/src/common/checkedJson.ts
+++ b/packages/base/src/common/checkedJson.ts
@@ -32,13 +32,16 @@
 
 /** Parses and validates JSON text. @throws InvalidDocumentError when the text is not JSON or violates the schema. */
 export function parseDocument<S extends z.ZodType>(source: string, schema: S, text: string): z.output<S> {
-  let value: unknown;
+  return validateDocument(source, schema, parseJson(source, text));
+}
+
+/** Parses JSON text. @throws InvalidDocumentError */
+export function parseJson(source: string, text: string): unknown {
   try {
-    value = JSON.parse(text);
+    return JSON.parse(text);
   } catch (error) {
     throw new InvalidDocumentError(source, [`not valid JSON: ${(error as Error).message}`]);
   }
-  return validateDocument(source, schema, value);
 }
 
 function formatPath(path: readonly PropertyKey[]): string {
--- a/packages/configuration/src/node/serviceFileReader.ts
+++ b/packages/configuration/src/node/serviceFileReader.ts
@@ -16,7 +16,8 @@
   );
 }
 
-async function findServiceFiles(directory: string): Promise<readonly string[]> {
+/** Finds the service files below a directory. @throws errors of the file system. */
+export async function findServiceFiles(directory: string): Promise<readonly string[]> {
   const entries = await readdir(directory, { withFileTypes: true });
   const nested = await Promise.all(
     entries.map(async (entry): Promise<readonly string[]> => {
