--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,7 +9,7 @@
   configuration: ['base', 'store'],
   ownership: ['base', 'store', 'protocol', 'configuration'],
   gateway: ['base', 'protocol', 'configuration', 'ownership', 'connection'],
-  daemon: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway'],
+  daemon: ['base', 'store', 'protocol', 'configuration', 'ownership', 'gateway', 'routing'],
   standIns: [
     'base',
     'store',
@@ -26,7 +26,7 @@
   dispatch: ['base', 'routing', 'connection'],
   keyownership: ['base', 'store'],
   entryvm: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership'],
-  platform: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership', 'entryvm'],
+  platform: ['base', 'store', 'routing', 'connection', 'dispatch', 'keyownership', 'entryvm', 'daemon'],
   testing: [],
 };
 
