Estimate the speed of servers by typical times

What callers saw: on a deployment whose servers differ in speed by a factor of three, sound servers refused requests that they could have answered in time, and lost keys to others.

Cause: the estimates are averages of the last dozen and the last fifty requests. One request in thirty takes seven times longer, so each of these moves the average by as much as servers differ. The long-term average even restarts from the recent one when that seems to have changed.

Ruled out: servers whose slots were held too long by lost messages (in flight and stated load agreed), and the announced work factor (it was steady).

Change: a server's time is the geometric mean of its requests times the average spread around it, which is that of the service.

--- a/packages/dispatch/src/common/schedulableServers.ts
+++ b/packages/dispatch/src/common/schedulableServers.ts
@@ -2,6 +2,7 @@
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import type { PaceChange, PaceFactory } from './serverPace.js';
 import { ServerStatistics } from './serverStatistics.js';
+import type { ServiceProcessingTimes } from './serviceProcessingTimes.js';
 import type { SlotRequest } from './slotRequest.js';
 
 /** A server whose slots the scheduler grants. */
@@ -34,8 +35,14 @@
   readonly #onDidChangePace: (change: ServerPaceChange) => void;
 
   readonly #createPace: PaceFactory;
+  readonly #times: ServiceProcessingTimes;
 
-  constructor(onDidChangePace: (change: ServerPaceChange) => void, createPace: PaceFactory) {
+  constructor(
+    times: ServiceProcessingTimes,
+    onDidChangePace: (change: ServerPaceChange) => void,
+    createPace: PaceFactory,
+  ) {
+    this.#times = times;
     this.#onDidChangePace = onDidChangePace;
     this.#createPace = createPace;
   }
@@ -56,14 +63,9 @@
 
   /**
    * Replaces the set of servers and keeps the statistics of those that stay.
-   * @param initialMilliseconds processing time assumed for a server without samples.
    * @returns identifiers of the servers that were removed.
    */
-  replace(
-    servers: readonly SchedulableServer[],
-    initialMilliseconds: number,
-    now: number,
-  ): readonly string[] {
+  replace(servers: readonly SchedulableServer[], now: number): readonly string[] {
     const isRunning = this.#servers.size > 0;
     const ids = new Set(servers.map(({ id }) => id));
     const removed = [...this.#servers.keys()].filter((known) => !ids.has(known));
@@ -80,7 +82,7 @@
         const pace = this.#createPace(server.slots, (change) => {
           this.#onDidChangePace({ ...change, serverId: id });
         });
-        const statistics = new ServerStatistics(server, initialMilliseconds, now, pace);
+        const statistics = new ServerStatistics(server, this.#times, now, pace);
         this.#servers.set(id, { statistics, incarnation });
         this.#removed.delete(id);
         if (known !== undefined || (isRunning && warmupMilliseconds > 0)) {
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -1,23 +1,15 @@
 import { type ColdStartBudget, ColdStartLimit } from './coldStartLimit.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import type { SchedulableServer } from './schedulableServers.js';
+import { ProcessingTimeEstimator } from './processingTimeEstimator.js';
 import type { RequestPace } from './serverPace.js';
 import { ServerRateLimit } from './serverRateLimit.js';
 import type { RateStatement } from './serverStatements.js';
+import type { ServiceProcessingTimes } from './serviceProcessingTimes.js';
 import { StatedLoadEstimate } from './statedLoadEstimate.js';
 
-/** Weight of a new sample in the smoothed processing time of a server. */
-const PROCESSING_TIME_SMOOTHING = 0.15;
-/**
- * Number of requests that the long-term processing time covers. Keys are distributed by this time, so it has
- * to be stable although the times of single requests differ by a factor of ten.
- */
-const LONG_TERM_SAMPLES = 50;
-/**
- * Factor between recent and long-term processing time beyond which the server itself has changed, so that the
- * long-term time restarts from the recent one.
- */
-const LONG_TERM_RESET_FACTOR = 1.8;
+/** Number of requests that stand behind a rate that a server has stated. */
+const STATED_RATE_SAMPLES = 50;
 /** Weight of a new attempt in the smoothed failure rate. */
 const FAILURE_SMOOTHING = 0.2;
 /** Factor by which a server is slower while it warms up. */
@@ -50,9 +42,7 @@
   readonly slots: number;
   /** Attempts in flight, the oldest first. */
   readonly #attempts = new Map<string, Attempt>();
-  #smoothedMilliseconds: number;
-  #longTermMilliseconds = 0;
-  #sampleCount = 0;
+  readonly #times: ProcessingTimeEstimator;
   #failureRate = 0;
   #ejectedUntil = 0;
   #ejectionMilliseconds = MIN_EJECTION_MILLISECONDS;
@@ -64,14 +54,14 @@
   readonly #statedLoad = new StatedLoadEstimate();
 
   /**
-   * @param initialMilliseconds processing time assumed before the first sample.
+   * @param service times of all servers of the service.
    * @param pace limits the requests in flight after a start or an ejection.
    */
-  constructor(server: SchedulableServer, initialMilliseconds: number, now: number, pace: RequestPace) {
+  constructor(server: SchedulableServer, service: ServiceProcessingTimes, now: number, pace: RequestPace) {
     this.id = server.id;
     this.availabilityZone = server.availabilityZone;
     this.slots = server.slots;
-    this.#smoothedMilliseconds = initialMilliseconds;
+    this.#times = new ProcessingTimeEstimator(service);
     this.#coldStart = new ColdStartLimit(server.coldStart);
     this.#pace = pace;
     this.extendWarmup(server.warmupMilliseconds, now);
@@ -84,21 +74,22 @@
 
   /** Expected processing time of a request, without its time in the server's queue, in milliseconds. */
   expectedMilliseconds(now: number): number {
-    return this.#smoothedMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
+    return this.#times.recentMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
   }
 
   /** Average processing time over the last requests; undefined before the first sample. */
   longTermProcessingTime(now: number): ProcessingTimeEstimate | undefined {
     const requestsPerSecond = this.requestsPerSecond(now);
-    const milliseconds = this.#longTermMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
+    const milliseconds = this.#times.longTermMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
     if (requestsPerSecond !== undefined) {
       // Keys are distributed by this time: a server that takes fewer requests counts as slower.
       return {
         milliseconds: Math.max(milliseconds, (this.slots * 1_000) / requestsPerSecond),
-        sampleCount: LONG_TERM_SAMPLES,
+        sampleCount: STATED_RATE_SAMPLES,
       };
     }
-    return this.#sampleCount === 0 ? undefined : { milliseconds, sampleCount: this.#sampleCount };
+    const { sampleCount } = this.#times;
+    return sampleCount === 0 ? undefined : { milliseconds, sampleCount };
   }
 
   /** Expected processing time at this moment, increased by the failure rate. */
@@ -209,7 +200,7 @@
         this.#lastResponseAt = now;
         this.#failureRate *= 1 - FAILURE_SMOOTHING;
         if (milliseconds !== undefined) {
-          this.#addSample(milliseconds / (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1));
+          this.#times.add(milliseconds / (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1));
         }
         return;
       case 'failed':
@@ -217,7 +208,7 @@
         this.#failureRate += FAILURE_SMOOTHING * (1 - this.#failureRate);
         return;
       case 'silent':
-        this.#addSample(milliseconds ?? now - grantedAt);
+        this.#times.add(milliseconds ?? now - grantedAt);
         this.#failureRate += FAILURE_SMOOTHING * (1 - this.#failureRate);
         // A server that responded to other requests in the meantime is slow but reachable.
         if (this.#lastResponseAt < grantedAt) {
@@ -229,8 +220,8 @@
         return;
       case 'cancelled':
         // The elapsed time is a lower bound, so it counts only if it exceeds the current estimate.
-        if (milliseconds !== undefined && milliseconds > this.#smoothedMilliseconds) {
-          this.#addSample(milliseconds);
+        if (milliseconds !== undefined && milliseconds > this.#times.recentMilliseconds) {
+          this.#times.add(milliseconds);
         }
     }
   }
@@ -256,16 +247,6 @@
     }
   }
 
-  #addSample(milliseconds: number): void {
-    this.#smoothedMilliseconds += PROCESSING_TIME_SMOOTHING * (milliseconds - this.#smoothedMilliseconds);
-    this.#sampleCount = Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
-    this.#longTermMilliseconds += (milliseconds - this.#longTermMilliseconds) / this.#sampleCount;
-    const ratio = this.#smoothedMilliseconds / this.#longTermMilliseconds;
-    if (ratio > LONG_TERM_RESET_FACTOR || ratio < 1 / LONG_TERM_RESET_FACTOR) {
-      this.#longTermMilliseconds = this.#smoothedMilliseconds;
-    }
-  }
-
   #eject(now: number): void {
     if (now >= this.#ejectedUntil) {
       this.#ejectedUntil = now + this.#ejectionMilliseconds;
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -11,14 +11,11 @@
   type ServiceCapacity,
   waitMilliseconds,
 } from './serviceCapacity.js';
+import { ServiceProcessingTimes } from './serviceProcessingTimes.js';
 import { SlotQueue } from './slotQueue.js';
 import type { RateStatement } from './serverStatements.js';
 import type { SlotRequest } from './slotRequest.js';
 
-/** Average processing time assumed before the first sample of a service, in milliseconds. */
-const INITIAL_PROCESSING_MILLISECONDS = 100;
-/** Weight of a new sample in the average processing time of the service. */
-const AVERAGE_SMOOTHING = 0.05;
 /** Wait that is assumed for a service without servers, in milliseconds. */
 const NO_SERVER_WAIT_MILLISECONDS = 500;
 /** Key of the queue of requests that any server of the service can run. No server has this identifier. */
@@ -82,14 +79,14 @@
   readonly #queueKeys = new Map<string, string>();
   /** When refused callers return, by key of the queue. */
   readonly #returnSchedules = new Map<string, ReturnSchedule>();
-  #averageMilliseconds = INITIAL_PROCESSING_MILLISECONDS;
+  readonly #times = new ServiceProcessingTimes();
 
   /** @param onDidChangePace called when the number of requests changes that a server may have in flight. */
   constructor(
     onDidChangePace: (change: ServerPaceChange) => void = () => undefined,
     createPace: PaceFactory = (slots, onDidChange) => new ServerPace(slots, onDidChange),
   ) {
-    this.#servers = new SchedulableServers(onDidChangePace, createPace);
+    this.#servers = new SchedulableServers(this.#times, onDidChangePace, createPace);
   }
 
   /** Number of queued slot requests. */
@@ -109,7 +106,7 @@
 
   /** Replaces the set of servers and keeps the statistics of those that stay. */
   setServers(servers: readonly SchedulableServer[], now: number): readonly SlotDecision[] {
-    for (const id of this.#servers.replace(servers, this.#averageMilliseconds, now)) {
+    for (const id of this.#servers.replace(servers, now)) {
       this.#returnSchedules.delete(id);
     }
     return this.#reviewQueues(now);
@@ -154,12 +151,12 @@
       return [];
     }
     this.#grants.delete(slotRequestId);
-    const milliseconds = grant.server.end(slotRequestId, outcome, now, this.#averageMilliseconds);
+    const milliseconds = grant.server.end(slotRequestId, outcome, now, this.#times.averageMilliseconds);
     if (statements !== undefined) {
       grant.server.recordStatement(statements, now);
     }
     if (outcome === 'answered' && milliseconds !== undefined) {
-      this.#averageMilliseconds += AVERAGE_SMOOTHING * (milliseconds - this.#averageMilliseconds);
+      this.#times.record(milliseconds);
     }
     const { id } = grant.server;
     const queue = this.#queues.get(id);
@@ -180,7 +177,7 @@
     for (const [slotRequestId, grant] of this.#grants) {
       if (now > grant.expiresAt) {
         this.#grants.delete(slotRequestId);
-        grant.server.end(slotRequestId, 'cancelled', now, this.#averageMilliseconds);
+        grant.server.end(slotRequestId, 'cancelled', now, this.#times.averageMilliseconds);
       }
     }
     return this.#reviewQueues(now);
@@ -249,7 +246,7 @@
     const decisions: SlotDecision[] = [];
     const owner = this.#servers.get(key);
     const capacity = this.#capacityFor({ serverId: key === POOL ? undefined : key, excludedIds: [] }, now);
-    const processing = Math.min(processingMilliseconds(capacity), this.#averageMilliseconds);
+    const processing = Math.min(processingMilliseconds(capacity), this.#times.averageMilliseconds);
     const refuse = (request: SlotRequest, refusal: SlotRefusal, wait: number): void => {
       this.#dequeue(request.id);
       decisions.push(this.#refuse(request, refusal, wait, now));
@@ -276,7 +273,7 @@
    * only if requests are sent to it.
    */
   #grantOrRefuse(request: SlotRequest, server: ServerStatistics, now: number): SlotDecision {
-    const processing = Math.min(server.expectedMilliseconds(now), this.#averageMilliseconds);
+    const processing = Math.min(server.expectedMilliseconds(now), this.#times.averageMilliseconds);
     if (now + processing > request.deadlineAt) {
       return this.#refuse(request, 'overloaded', 0, now);
     }
--- a/packages/dispatch/src/common/test/serverPlacement.test.ts
+++ b/packages/dispatch/src/common/test/serverPlacement.test.ts
@@ -3,6 +3,7 @@
 import { costlyBytes, placementCost } from '../serverPlacement.js';
 import { ServerPace } from '../serverPace.js';
 import { ServerStatistics } from '../serverStatistics.js';
+import { ServiceProcessingTimes } from '../serviceProcessingTimes.js';
 import { SlotScheduler } from '../slotScheduler.js';
 import type { SlotRequest } from '../slotRequest.js';
 
@@ -90,7 +91,7 @@
     const statisticsOf = (id: string, availabilityZone: string, milliseconds: number): ServerStatistics =>
       new ServerStatistics(
         { id, incarnation: 1, availabilityZone, slots: SLOTS, warmupMilliseconds: 0 },
-        milliseconds,
+        new ServiceProcessingTimes(milliseconds),
         0,
         new ServerPace(SLOTS, () => undefined),
       );
