Revert "Assume processing times from latency goals before the first response"

What makes answers late after the return is mostly the power, which returns over 0.9 s, and the load of a third fewer servers.

--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -117,7 +117,6 @@
     if (this.#queueKeys.has(request.id) || this.#grants.has(request.id)) {
       return [];
     }
-    this.#times.assumeFromGoal(request.goalAt - now);
     const owner = this.#servers.get(request.serverId);
     if (owner?.isEjected(now) === true) {
       return [this.#refuse(request, 'unreachable', owner.remainingEjectionMilliseconds(now), now)];
