Read and write the messages of a request without a general decoder

Small entry VMs answered late because most of their processor time was taken. A request costs several messages between entry VMs, and each of them went through a plausibility check, a general MessagePack decoder, an expansion into named fields, and a check against the schema.

Slot messages and heartbeats in their usual form are now read value by value into the checked message, and slot messages are written the same way. Everything else - other messages, larger numbers, other encodings, JSON, anything that looks odd - takes the general way as before, so the schema still defines what is valid.

A property over random, mutated and spliced datagrams compares both ways, and another one the bytes that both write.

--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -10,7 +10,7 @@
 const decoder = new Decoder();
 
 /** Size from which messages are compressed, in bytes: those with rows of tables, changes of owners, and many keys. */
-const MIN_COMPRESSED_BYTES = 256;
+export const MIN_COMPRESSED_BYTES = 256;
 /** Limit for a message once it is decompressed, in bytes. */
 const MAX_DECOMPRESSED_BYTES = 65_536;
 /** The window covers a message; both ends allocate little for it. */
@@ -110,13 +110,41 @@
   },
 };
 
+/** Why slots are refused, and how their use ended; each is sent as its position. */
+export const REFUSALS = ['no-server', 'overloaded', 'unreachable', 'not-coordinating'] as const;
+export const FINISH_USES = ['answered', 'failed', 'refused', 'unreachable', 'silent', 'cancelled'] as const;
+
+/** The order of the fields of objects inside messages. */
+export const BASIS_FIELDS: readonly string[] = [
+  'expectedWaitMilliseconds',
+  'expectedWorkMilliseconds',
+  'waiting',
+  'statedRequestsPerSecond',
+];
+export const STATEMENT_FIELDS: readonly string[] = ['requestsPerSecond', 'load', 'warmup'];
+
+/** The first value of a message, by its type. Codes and the order of fields are part of the format. */
+export const MESSAGE_CODES = {
+  ask: 0,
+  waiting: 1,
+  granted: 2,
+  refused: 3,
+  finish: 4,
+  heartbeat: 5,
+  'reader-heartbeat': 6,
+  'table-changes': 7,
+  'server-leaving': 8,
+  'assignment-change': 9,
+  report: 10,
+  'crash-evidence': 11,
+} as const;
+
 interface MessageLayout {
-  readonly type: string;
+  readonly type: keyof typeof MESSAGE_CODES;
   readonly fields: readonly string[];
   readonly codecs: Readonly<Record<string, FieldCodec>>;
 }
 
-/** The position of a message here is its code. Codes and the order of fields are part of the format. */
 const LAYOUTS: readonly MessageLayout[] = [
   {
     type: 'ask',
@@ -146,13 +174,8 @@
     fields: ['id', 'refusal', 'retryAfter', 'basis'],
     codecs: {
       id: slotRequestId,
-      refusal: oneOf(['no-server', 'overloaded', 'unreachable', 'not-coordinating']),
-      basis: record([
-        'expectedWaitMilliseconds',
-        'expectedWorkMilliseconds',
-        'waiting',
-        'statedRequestsPerSecond',
-      ]),
+      refusal: oneOf(REFUSALS),
+      basis: record(BASIS_FIELDS),
     },
   },
   {
@@ -160,8 +183,8 @@
     fields: ['id', 'use', 'statements'],
     codecs: {
       id: slotRequestId,
-      use: oneOf(['answered', 'failed', 'refused', 'unreachable', 'silent', 'cancelled']),
-      statements: record(['requestsPerSecond', 'load', 'warmup']),
+      use: oneOf(FINISH_USES),
+      statements: record(STATEMENT_FIELDS),
     },
   },
   {
@@ -206,14 +229,17 @@
   },
 ];
 
-const COMPILED_LAYOUTS = LAYOUTS.map(({ type, fields, codecs }, code) => ({
+const COMPILED_LAYOUTS = LAYOUTS.map(({ type, fields, codecs }) => ({
   type,
-  code,
+  code: MESSAGE_CODES[type],
   fields: fields.map((name) => ({ name, codec: codecs[name] })),
 }));
 const LAYOUT_BY_TYPE: ReadonlyMap<unknown, (typeof COMPILED_LAYOUTS)[number]> = new Map(
   COMPILED_LAYOUTS.map((layout) => [layout.type, layout]),
 );
+const LAYOUT_BY_CODE: ReadonlyMap<unknown, (typeof COMPILED_LAYOUTS)[number]> = new Map(
+  COMPILED_LAYOUTS.map((layout) => [layout.code, layout]),
+);
 
 /**
  * Encodes a message between entry VMs as an array in MessagePack; absent fields at the end are left out. A large message
@@ -258,7 +284,7 @@
 /** @returns the fields of a message, not checked; undefined if it has no known layout. */
 function expand(values: CompactMessage, sender: UncheckedSender): UncheckedMessage | undefined {
   const [code] = values;
-  const layout = typeof code === 'number' ? COMPILED_LAYOUTS[code] : undefined;
+  const layout = LAYOUT_BY_CODE.get(code);
   if (layout === undefined || values.length > layout.fields.length + 1) {
     return undefined;
   }
@@ -333,7 +359,7 @@
   return head.subarray(0, head.length - messageCount);
 }
 
-function isRecord(value: unknown): value is Record<string, unknown> {
+export function isRecord(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
 
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -1,6 +1,14 @@
 import { z } from 'zod';
 import { encodedDeltaSchema } from '@hickoryhoist/keyownership/common/keyAssignmentDelta.js';
-import { type DatagramSender, decodeCompact, encodeCompact, encodeDatagramHead } from './peerCodec.js';
+import { FrequentDatagramReader, FrequentMessageWriter } from './frequentMessages.js';
+import {
+  type DatagramSender,
+  decodeCompact,
+  encodeCompact,
+  encodeDatagramHead,
+  FINISH_USES,
+  REFUSALS,
+} from './peerCodec.js';
 
 const slotRequestSchema = z.object({
   type: z.literal('ask'),
@@ -30,7 +38,7 @@
   z.object({
     type: z.literal('refused'),
     id: z.string(),
-    refusal: z.enum(['no-server', 'overloaded', 'unreachable', 'not-coordinating']),
+    refusal: z.enum(REFUSALS),
     retryAfter: z.number(),
     /** Data behind the decision, for the log of the requesting entry VM. */
     basis: z
@@ -49,7 +57,7 @@
   z.object({
     type: z.literal('finish'),
     id: z.string(),
-    use: z.enum(['answered', 'failed', 'refused', 'unreachable', 'silent', 'cancelled']),
+    use: z.enum(FINISH_USES),
     /** What the server stated about its rate in its response; absent if there was no response. */
     statements: z
       .object({
@@ -157,6 +165,8 @@
 const COMPACT_FORMAT = 2;
 /** First byte of a datagram in JSON; the compact form is an array and begins otherwise. */
 const JSON_START = '{'.charCodeAt(0);
+const frequentReader = new FrequentDatagramReader(COMPACT_FORMAT);
+const frequentWriter = new FrequentMessageWriter();
 const JSON_COMMA = Buffer.from(',');
 const JSON_END = Buffer.from(']}');
 /** Bandwidth below which bytes are worth the processor time of the compact form, in Mbit/s. */
@@ -174,7 +184,10 @@
 ): EncodedMessage {
   switch (format) {
     case 'compact':
-      return { type: message.type, bytes: encodeCompact(message, sender) };
+      return {
+        type: message.type,
+        bytes: frequentWriter.encode(message) ?? encodeCompact(message, sender),
+      };
     case 'json':
       return { type: message.type, bytes: Buffer.from(JSON.stringify(message)) };
   }
@@ -206,6 +219,11 @@
 
 /** @returns undefined if the bytes are not a valid datagram. */
 export function decodeDatagram(bytes: Uint8Array, sourceAddress: string): PeerDatagram | undefined {
+  return frequentReader.read(bytes, sourceAddress) ?? decodeAnyDatagram(bytes, sourceAddress);
+}
+
+/** Decodes a datagram in any form and checks it against the schema, which defines what is valid. */
+export function decodeAnyDatagram(bytes: Uint8Array, sourceAddress: string): PeerDatagram | undefined {
   try {
     const datagram: unknown =
       bytes[0] === JSON_START
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -1,10 +1,13 @@
 import { deflateRawSync } from 'node:zlib';
+import { decode, encode } from '@msgpack/msgpack';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { isPlausibleMessagePack } from '../messagePackCheck.js';
-import { MAX_MESSAGES_PER_DATAGRAM } from '../peerCodec.js';
+import { FrequentDatagramReader } from '../frequentMessages.js';
+import { encodeCompact, MAX_MESSAGES_PER_DATAGRAM } from '../peerCodec.js';
 import {
+  decodeAnyDatagram,
   decodeDatagram,
   encodeDatagram,
   encodeMessage,
@@ -158,6 +161,18 @@
   ),
 };
 
+/** What a field of a message may be in datagrams that no entry VM sends. */
+const field = fc.oneof(
+  fc.constantFrom(null, undefined, '', -0, 1, Number.NaN, Infinity, 'answered', [], [1, 2], [['a'], 'b']),
+  fc.anything({ withBigInt: false, withDate: false, withSparseArray: false, maxDepth: 2 }),
+  text,
+  number,
+  fc.array(fc.oneof(number, text, fc.constant(Number.NaN)), { maxLength: 5 }),
+  numbersByName,
+  fc.constant('a'),
+  fc.constant(JSON.parse('{"__proto__":1}') as unknown),
+);
+
 const message = fc.oneof(
   ...Object.entries(generators).map(([type, generator]) =>
     generator.map((fields) => ({ ...(fields as object), type }) as PeerMessage),
@@ -223,6 +238,91 @@
     );
   });
 
+  it('is read in the short way exactly as the schema has it, whatever its bytes', () => {
+    /** The values of a message with one of them replaced, added or removed, some deep inside. */
+    const replaced = fc
+      .tuple(message, fc.nat(), fc.nat(4), field, fc.boolean())
+      .map(([sent, position, count, value, isNested]) => {
+        const values = decode(encodeCompact(sent, SENDER));
+        if (Array.isArray(values)) {
+          const nested = (values as unknown[]).filter((item) => Array.isArray(item)) as unknown[][];
+          const target = (isNested ? nested[position % nested.length] : undefined) ?? (values as unknown[]);
+          target.splice(position % (target.length + 1), count, value);
+        }
+        return values;
+      });
+    const sender = fc.oneof(
+      fc.constant(['vm@', 5]),
+      fc.tuple(fc.oneof(fc.constant('vm@'), field), fc.oneof(fc.nat(), field)),
+    );
+    const encoded = fc
+      .tuple(fc.constantFrom(2, 2, 2, 3), sender, fc.array(replaced, { maxLength: 2 }))
+      .map(([format, [from, incarnation], messages]) => {
+        try {
+          return Buffer.from(encode([format, from, incarnation, messages]));
+        } catch {
+          // A value that has no form.
+          return Buffer.of();
+        }
+      });
+    const edited = fc
+      .tuple(fc.array(message, { minLength: 1, maxLength: 3 }), fc.nat(), fc.nat(2), fc.uint8Array())
+      .map(([messages, position, removed, inserted]) => {
+        const bytes = datagramOf(...messages);
+        const at = position % bytes.length;
+        return Buffer.concat([bytes.subarray(0, at), inserted, bytes.subarray(at + removed)]);
+      });
+    const intact = fc.array(message, { maxLength: 3 }).map((messages) => datagramOf(...messages));
+    fc.assert(
+      fc.property(fc.oneof({ arbitrary: encoded, weight: 4 }, edited, intact), (bytes) => {
+        assert.equal(decodeDatagram(bytes, ADDRESS), decodeAnyDatagram(bytes, ADDRESS));
+      }),
+      { seed: SEED, numRuns: 20_000 },
+    );
+  });
+
+  it('is read and written in the short way for the slots of requests and heartbeats', () => {
+    const id = '0badcafe:123456';
+    const heartbeat = { id: SENDER.id, storeSilence: 0, versions: { servers: 70_000 } };
+    const messages: readonly PeerMessage[] = [
+      {
+        ...{ type: 'ask', id, service: 'lot-register', excludedIds: ['i-1'], availabilityZone: 'ragusa-b' },
+        ...{ rank: 2, bodyBytes: 1_200, responseBytes: 5_000, goalIn: -5, deadlineIn: 3_995 },
+      },
+      { type: 'waiting', id },
+      { type: 'granted', id, serverId: 'i-a11a3682ad' },
+      { type: 'refused', id, refusal: 'overloaded', retryAfter: 800 },
+      { type: 'finish', id, use: 'answered', statements: { load: [4, 2, 6, 1.25] } },
+      { ...heartbeat, type: 'heartbeat', term: 3, assignments: {}, sentAt: 70_000.5 },
+      { ...heartbeat, type: 'reader-heartbeat', storeReachable: 60_000, unconfirmed: 120 },
+    ];
+    const datagram = new FrequentDatagramReader(2).read(datagramOf(...messages), ADDRESS);
+    assert.equal(datagram, { from: SENDER.id, incarnation: SENDER.incarnation, messages });
+  });
+
+  it('has the same bytes whichever way it is written, also if it is malformed', () => {
+    const result = (encodeSent: () => Uint8Array): unknown => {
+      try {
+        return Buffer.from(encodeSent());
+      } catch {
+        return 'thrown';
+      }
+    };
+    const malformed = fc.tuple(message, fc.nat(), field).map(([sent, position, value]) => {
+      const names = Object.keys(sent).filter((name) => name !== 'type');
+      return { ...sent, [names[position % names.length] ?? '']: value };
+    });
+    fc.assert(
+      fc.property(fc.oneof(message, malformed), (sent) => {
+        assert.equal(
+          result(() => encodeMessage(sent, SENDER).bytes),
+          result(() => encodeCompact(sent, SENDER)),
+        );
+      }),
+      { seed: SEED, numRuns: 5_000 },
+    );
+  });
+
   it('has the rows of a table in a third of their size', () => {
     const rows = Array.from({ length: 12 }, (_, index) => ({
       key: `servers/i-${(index * 7_919).toString(16)}`,
