Send datagrams without a lookup and a callback each

Each datagram went through the resolver, which passes an IP address on after a tick of the event loop, and had its own callback; its head was encoded anew, its parts were collected in intermediate lists and concatenated, and a heartbeat was put together again for each of the entry VMs that it goes to. On small VMs this took a noticeable part of the processor time of a request.

The socket's lookup now returns the address at once, one callback serves all datagrams (errors name the address, so the log line loses nothing), heads are kept by number of messages, and a message for several destinations is put together once. The queue packs the usual datagram of one message without copies, and counting bytes and recording that an entry VM was heard change what they have instead of replacing it. Bytes on the wire are the same.

--- a/packages/entryVm/src/common/byteAccount.ts
+++ b/packages/entryVm/src/common/byteAccount.ts
@@ -42,8 +42,11 @@
 
   /** @param availabilityZone the zone of the other side; empty or undefined if it is not known. */
   add(kind: ByteKind, availabilityZone: string | undefined, bytes: number): void {
-    const totals = this.#totals.get(kind) ?? { 'same-zone': 0, 'other-zone': 0, unknown: 0 };
-    this.#totals.set(kind, totals);
+    let totals = this.#totals.get(kind);
+    if (totals === undefined) {
+      totals = { 'same-zone': 0, 'other-zone': 0, unknown: 0 };
+      this.#totals.set(kind, totals);
+    }
     totals[this.#relationTo(availabilityZone)] += bytes;
   }
 
--- a/packages/entryVm/src/common/datagramQueue.ts
+++ b/packages/entryVm/src/common/datagramQueue.ts
@@ -42,22 +42,29 @@
 
   /** Takes what is to be sent now, with the duplicates that can go along. */
   take(now: number): readonly QueuedDatagram[] {
-    const datagrams = [...this.#messages].flatMap(([ipAddress, messages]) =>
-      pack(ipAddress, [...messages, ...this.#takeDuplicates(ipAddress, now)]),
-    );
+    const datagrams: QueuedDatagram[] = [];
+    for (const [ipAddress, messages] of this.#messages) {
+      const duplicates = this.#takeDuplicates(ipAddress, now);
+      pack(datagrams, ipAddress, duplicates === undefined ? messages : [...messages, ...duplicates]);
+    }
     this.#messages.clear();
     return datagrams;
   }
 
   /** Takes the duplicates that no other datagram has taken along. */
   takeDuplicates(now: number): readonly QueuedDatagram[] {
-    return [...this.#duplicates.keys()].flatMap((ipAddress) =>
-      pack(ipAddress, this.#takeDuplicates(ipAddress, now)),
-    );
+    const datagrams: QueuedDatagram[] = [];
+    for (const ipAddress of this.#duplicates.keys()) {
+      pack(datagrams, ipAddress, this.#takeDuplicates(ipAddress, now) ?? []);
+    }
+    return datagrams;
   }
 
-  #takeDuplicates(ipAddress: string, now: number): readonly EncodedMessage[] {
-    const waiting = this.#duplicates.get(ipAddress) ?? [];
+  #takeDuplicates(ipAddress: string, now: number): readonly EncodedMessage[] | undefined {
+    const waiting = this.#duplicates.get(ipAddress);
+    if (waiting === undefined) {
+      return undefined;
+    }
     const isDue = ({ queuedAt }: Duplicate): boolean => now - queuedAt >= MIN_DUPLICATE_MILLISECONDS;
     const due = waiting.filter(isDue);
     if (due.length === waiting.length) {
@@ -72,25 +79,24 @@
   }
 }
 
-function pack(ipAddress: string, messages: readonly EncodedMessage[]): readonly QueuedDatagram[] {
-  const datagrams: { ipAddress: string; messages: EncodedMessage[] }[] = [];
+/** Appends the datagrams of some messages to one entry VM. */
+function pack(datagrams: QueuedDatagram[], ipAddress: string, messages: readonly EncodedMessage[]): void {
+  if (messages.length === 1) {
+    datagrams.push({ ipAddress, messages });
+    return;
+  }
+  let last: EncodedMessage[] = [];
   let bytes = 0;
   for (const message of messages) {
-    const last = datagrams.at(-1);
     const size = message.bytes.length;
-    if (
-      last === undefined ||
-      last.messages.length >= MAX_MESSAGES_PER_DATAGRAM ||
-      bytes + size > MAX_DATAGRAM_BYTES
-    ) {
-      datagrams.push({ ipAddress, messages: [message] });
-      bytes = size;
-    } else {
-      last.messages.push(message);
-      bytes += size;
+    if (last.length === 0 || last.length >= MAX_MESSAGES_PER_DATAGRAM || bytes + size > MAX_DATAGRAM_BYTES) {
+      last = [];
+      datagrams.push({ ipAddress, messages: last });
+      bytes = 0;
     }
+    last.push(message);
+    bytes += size;
   }
-  return datagrams;
 }
 
 function append<Item>(lists: Map<string, Item[]>, key: string, item: Item): void {
--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -68,7 +68,7 @@
   readonly #rows: EntryVmRows;
   readonly #logger: Logger;
   /** Sender's incarnation and time of the last message, by ID. */
-  readonly #lastMessages = new Map<string, { readonly incarnation: string; readonly at: number }>();
+  readonly #lastMessages = new Map<string, { incarnation: string; at: number }>();
   #isWriting = false;
   #isLeaving = false;
   #nextWriteAt = 0;
@@ -159,7 +159,13 @@
   }
 
   recordMessage(id: string, incarnation: string): void {
-    this.#lastMessages.set(id, { incarnation, at: performance.now() });
+    const last = this.#lastMessages.get(id);
+    if (last === undefined) {
+      this.#lastMessages.set(id, { incarnation, at: performance.now() });
+    } else {
+      last.incarnation = incarnation;
+      last.at = performance.now();
+    }
   }
 
   /** Whether a different incarnation of the entry VM has sent a message or written its row. */
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -167,7 +167,7 @@
 const JSON_START = '{'.charCodeAt(0);
 const frequentReader = new FrequentDatagramReader(COMPACT_FORMAT);
 const frequentWriter = new FrequentMessageWriter();
-const JSON_COMMA = Buffer.from(',');
+const JSON_COMMA = ','.charCodeAt(0);
 const JSON_END = Buffer.from(']}');
 /** Bandwidth below which bytes are worth the processor time of the compact form, in Mbit/s. */
 const SCARCE_LINK_MEGABITS_PER_SECOND = 500;
@@ -194,7 +194,76 @@
 }
 
 /**
- * Combines messages that were encoded in the same form into a datagram.
+ * Combines messages that were encoded in the same form into datagrams. Load pattern: most datagrams have one message, and
+ * heartbeats go to all entry VMs, so the parts that stay the same are kept.
+ */
+export class DatagramEncoder {
+  readonly #sender: DatagramSender;
+  readonly #sourceAddress: string;
+  readonly #format: MessageFormat;
+  /** First part of a datagram by the number of its messages. */
+  readonly #heads: (Uint8Array | undefined)[] = [];
+  #lastMessage: EncodedMessage | undefined;
+  #lastDatagram: Uint8Array = new Uint8Array();
+
+  /** @param sourceAddress IP address from which datagrams are sent. */
+  constructor(sender: DatagramSender, sourceAddress: string, format: MessageFormat = 'compact') {
+    this.#sender = sender;
+    this.#sourceAddress = sourceAddress;
+    this.#format = format;
+  }
+
+  /** @returns bytes that must not be changed. */
+  encode(messages: readonly EncodedMessage[]): Uint8Array {
+    const [message] = messages;
+    if (message === undefined || messages.length > 1) {
+      return this.#encode(messages);
+    }
+    if (message !== this.#lastMessage) {
+      this.#lastMessage = message;
+      this.#lastDatagram = this.#encode(messages);
+    }
+    return this.#lastDatagram;
+  }
+
+  #encode(messages: readonly EncodedMessage[]): Uint8Array {
+    const head = (this.#heads[messages.length] ??= this.#encodeHead(messages.length));
+    const isJson = this.#format === 'json';
+    let length = head.length + (isJson ? Math.max(0, messages.length - 1) + JSON_END.length : 0);
+    for (const { bytes } of messages) {
+      length += bytes.length;
+    }
+    const datagram = Buffer.allocUnsafe(length);
+    datagram.set(head);
+    let offset = head.length;
+    for (const { bytes } of messages) {
+      if (isJson && offset > head.length) {
+        datagram[offset] = JSON_COMMA;
+        offset += 1;
+      }
+      datagram.set(bytes, offset);
+      offset += bytes.length;
+    }
+    if (isJson) {
+      datagram.set(JSON_END, offset);
+    }
+    return datagram;
+  }
+
+  #encodeHead(messageCount: number): Uint8Array {
+    switch (this.#format) {
+      case 'compact':
+        return encodeDatagramHead(COMPACT_FORMAT, this.#sender, this.#sourceAddress, messageCount);
+      case 'json': {
+        const { id: from, incarnation } = this.#sender;
+        return Buffer.from(`${JSON.stringify({ from, incarnation }).slice(0, -1)},"messages":[`);
+      }
+    }
+  }
+}
+
+/**
+ * Combines messages that were encoded in the same form into one datagram.
  * @param sourceAddress IP address from which the datagram is sent.
  */
 export function encodeDatagram(
@@ -203,18 +272,7 @@
   messages: readonly EncodedMessage[],
   format: MessageFormat = 'compact',
 ): Uint8Array {
-  switch (format) {
-    case 'compact': {
-      const head = encodeDatagramHead(COMPACT_FORMAT, sender, sourceAddress, messages.length);
-      return Buffer.concat([head, ...messages.map(({ bytes }) => bytes)]);
-    }
-    case 'json': {
-      const { id: from, incarnation } = sender;
-      const head = JSON.stringify({ from, incarnation }).slice(0, -1);
-      const parts = messages.flatMap(({ bytes }, index) => (index === 0 ? [bytes] : [JSON_COMMA, bytes]));
-      return Buffer.concat([Buffer.from(`${head},"messages":[`), ...parts, JSON_END]);
-    }
-  }
+  return new DatagramEncoder(sender, sourceAddress, format).encode(messages);
 }
 
 /** @returns undefined if the bytes are not a valid datagram. */
--- a/packages/entryVm/src/node/peerSocket.ts
+++ b/packages/entryVm/src/node/peerSocket.ts
@@ -1,12 +1,12 @@
-import { createSocket, type Socket } from 'node:dgram';
+import { createSocket, type Socket, type SocketOptions } from 'node:dgram';
 import { DisposableBase, toDisposable } from '@hickoryhoist/base/common/disposable.js';
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { DatagramQueue, type QueuedDatagram } from '../common/datagramQueue.js';
 import {
+  DatagramEncoder,
   decodeDatagram,
-  encodeDatagram,
   encodeMessage,
   type MessageFormat,
   type PeerMessage,
@@ -26,6 +26,13 @@
 /** Minimum time between two log lines about datagrams that cannot be read. */
 const UNREADABLE_LOG_MILLISECONDS = 5_000;
 
+type LookupFunction = NonNullable<SocketOptions['lookup']>;
+
+/** Destinations are IP addresses. The resolver would pass them on, too, but later and for each datagram anew. */
+const returnAddress: LookupFunction = (ipAddress, _options, callback) => {
+  callback(null, ipAddress, 4);
+};
+
 export interface ReceivedMessage {
   /** ID of the sending entry VM. */
   readonly from: string;
@@ -48,12 +55,20 @@
   readonly #port: number;
   readonly #logger: Logger;
   readonly #queue = new DatagramQueue();
+  readonly #encoder: DatagramEncoder;
   readonly #onDidReceive = new Emitter<ReceivedMessage>();
   #isFlushScheduled = false;
   /** Datagrams since the last log line about those that cannot be read. */
   #unreadableCount = 0;
   #nextUnreadableLogAt = 0;
 
+  /** One for all datagrams, since each would otherwise have its own. The error names the address. */
+  readonly #afterSend = (error: Error | null): void => {
+    if (error !== null) {
+      this.#logger.log('debug', 'datagram-not-sent', { reason: describeError(error) });
+    }
+  };
+
   readonly onDidReceive = this.#onDidReceive.event;
 
   readonly #countSent: CountSentBytes;
@@ -69,7 +84,8 @@
     this.#self = self;
     this.#port = port;
     this.#logger = logger;
-    this.#socket = createSocket('udp4');
+    this.#encoder = new DatagramEncoder(self, self.ipAddress, self.messageFormat);
+    this.#socket = createSocket({ type: 'udp4', lookup: returnAddress });
     this.#socket.on('message', (bytes, { address }) => {
       this.#receive(bytes, address);
     });
@@ -135,18 +151,14 @@
   }
 
   #sendDatagram({ ipAddress, messages }: QueuedDatagram): void {
-    const bytes = encodeDatagram(this.#self, this.#self.ipAddress, messages, this.#self.messageFormat);
+    const bytes = this.#encoder.encode(messages);
     let frameBytes = bytes.length + PACKET_HEADER_BYTES;
     for (const message of messages) {
       this.#countSent(ipAddress, message.type, message.bytes.length);
       frameBytes -= message.bytes.length;
     }
     this.#countSent(ipAddress, 'datagram', frameBytes);
-    this.#socket.send(bytes, this.#port, ipAddress, (error) => {
-      if (error !== null) {
-        this.#logger.log('debug', 'datagram-not-sent', { to: ipAddress, reason: describeError(error) });
-      }
-    });
+    this.#socket.send(bytes, this.#port, ipAddress, this.#afterSend);
   }
 
   #receive(bytes: Buffer, sourceAddress: string): void {
