Keep a slot in use when its coordinator grants it again

While entry VMs were short of processor time, servers got more requests than they have slots for, although each of them has one coordinator that counts.

A coordinator that answers 40 to 80 ms late gets the request for a slot twice, and answers both. The second grant found no pending request, since the first one had completed it, and was taken for one that came too late: the requesting entry VM gave the slot back while its attempt was running, the coordinator granted it to the next request, and the real end of the attempt was ignored, with what the server had stated in its response.

An entry VM now knows which of its slots are in use and where they were granted, and ignores a repeated grant of one of them. One that was granted by a coordinator that was skipped meanwhile is given back as before. The test failed before: with responses 50 ms late, a server with three attempts in flight, which is its limit, was granted three more.

--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -66,6 +66,8 @@
   readonly #coordinator: SlotCoordinator;
   readonly #selector: CoordinatorSelector;
   readonly #pending = new Map<string, PendingRequest>();
+  /** Address of the coordinator by the identifier of the slot request, for slots in use that another entry VM granted. */
+  readonly #inUse = new Map<string, string>();
   #nextId = 1;
 
   constructor(options: CoordinatedSlotsOptions) {
@@ -204,7 +206,11 @@
     return pending?.coordinator.ipAddress === ipAddress ? pending : undefined;
   }
 
+  /** Load pattern: an overloaded coordinator gets a request twice before it answers, and grants it twice. */
   #receiveGrant(ipAddress: string, id: string, chosenServerId: string | undefined): void {
+    if (this.#inUse.get(id) === ipAddress) {
+      return;
+    }
     const pending = this.#pendingAt(ipAddress, id);
     const serverId = chosenServerId ?? pending?.requirements.serverId;
     if (pending === undefined || serverId === undefined) {
@@ -314,6 +320,9 @@
   }
 
   #createSlot(pending: PendingRequest, serverId: string): Slot {
+    if (pending.coordinator.id !== this.#options.self.id) {
+      this.#inUse.set(pending.id, pending.coordinator.ipAddress);
+    }
     return {
       serverId,
       coordinatorId: pending.coordinator.id,
@@ -337,6 +346,7 @@
       this.#coordinator.finish(service, id, outcome, statements);
       return;
     }
+    this.#inUse.delete(id);
     // If the coordinator misses this message, the slot stays in use until the request's deadline.
     sendWithDuplicate(coordinator.ipAddress, {
       type: 'finish',
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -259,6 +259,27 @@
     });
   });
 
+  it('keeps a slot in use that its coordinator grants again, because the request was repeated', async () => {
+    await withRig(3, async (rig) => {
+      for (const requester of rig.vms.keys()) {
+        rig.delays.set(requester, 50);
+        const seen = collectResults(
+          Array.from({ length: MAX_ATTEMPTS_PER_SERVER }, () => rig.acquire(requester)),
+        );
+        await rig.clock.tickAsync(200);
+        assert.is(seen.granted.length, MAX_ATTEMPTS_PER_SERVER);
+        rig.delays.clear();
+        const others = collectResults([...rig.vms.keys()].map((vm) => rig.acquire(vm)));
+        await rig.clock.tickAsync(200);
+        assert.is(others.granted.length, 0, `${requester}: the server is full`);
+        seen.granted.forEach(finish);
+        await rig.clock.tickAsync(20);
+        others.granted.forEach(finish);
+        await rig.clock.tickAsync(4_000);
+      }
+    });
+  });
+
   it('withdraws a request when its caller disconnects', async () => {
     await withRig(3, async (rig) => {
       const inUse = collectResults(
