Ask about old grants instead of repeating the end of each attempt

Each request ended with a message that was sent twice, in case the first one is lost: a quarter of the datagrams of a request, sent and read on VMs that are short of processor time. Without the duplicate a lost message would hold a slot until the request's deadline, seconds during which others wait for it.

Now the coordinator asks the requesting entry VM about grants that are 200 ms old while a request waits for their server, and about others every second. Slots that are not in use are given back, also those of a process that restarted. So a request that ends in time needs three datagrams, and a lost end holds a contended slot for 250 ms and a round trip. Outcomes other than an answer keep their duplicate, and so does every message to or from an entry VM whose row does not say that it knows the new message: older versions ignore the whole datagram of a message that they do not know.

Ruled out: duplicates after a loss was seen, since the loss of this message is seen by nobody; longer waits for another datagram, since a pair of many entry VMs rarely has one; a repeated grant as the question, which older versions answer by giving up a slot in use.

--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -69,11 +69,16 @@
   /** Address of the coordinator by the identifier of the slot request, for slots in use that another entry VM granted. */
   readonly #inUse = new Map<string, string>();
   #nextId = 1;
+  #checkers: ReadonlySet<string> = new Set();
+  /** The entry VMs from which `#checkers` was made. */
+  #knownEntryVms: readonly CoordinatorCandidate[] = [];
 
   constructor(options: CoordinatedSlotsOptions) {
     super();
     this.#options = options;
-    this.#coordinator = this.register(new SlotCoordinator(options.send));
+    this.#coordinator = this.register(
+      new SlotCoordinator(options.send, (ipAddress) => this.#addressesOfCheckers().has(ipAddress)),
+    );
     this.#selector = new CoordinatorSelector(options.self, options.entryVms, options.logger);
     this.register(
       this.#coordinator.onDidDecide((decision) => {
@@ -178,6 +183,9 @@
         }
         return true;
       }
+      case 'slot-check':
+        this.#receiveCheck(ipAddress, message.ids);
+        return true;
       case 'granted':
         this.#selector.recordResponse(ipAddress);
         this.#receiveGrant(ipAddress, message.id, message.serverId);
@@ -221,6 +229,27 @@
     this.#complete(pending, { kind: 'granted', slot: this.#createSlot(pending, serverId) });
   }
 
+  /** Load pattern: a `finish` was lost while many requests wait for its slot. Its outcome and statements are not repeated. */
+  #receiveCheck(ipAddress: string, ids: readonly string[]): void {
+    for (const id of ids) {
+      if (this.#inUse.get(id) !== ipAddress && this.#pendingAt(ipAddress, id) === undefined) {
+        this.#options.send(ipAddress, { type: 'finish', id, use: 'cancelled' });
+      }
+    }
+  }
+
+  /** Addresses of the entry VMs that send and answer `slot-check`. */
+  #addressesOfCheckers(): ReadonlySet<string> {
+    const current = this.#options.entryVms();
+    if (current !== this.#knownEntryVms) {
+      this.#knownEntryVms = current;
+      this.#checkers = new Set(
+        current.flatMap(({ ipAddress, checksSlots }) => (checksSlots === true ? [ipAddress] : [])),
+      );
+    }
+    return this.#checkers;
+  }
+
   #receiveRejection(ipAddress: string, message: Extract<PeerMessage, { type: 'refused' }>): void {
     const pending = this.#pendingAt(ipAddress, message.id);
     if (pending === undefined) {
@@ -341,14 +370,15 @@
     outcome: AttemptOutcome,
     statements?: ServerStatements,
   ): void {
-    const { self, sendWithDuplicate } = this.#options;
+    const { self, send, sendWithDuplicate } = this.#options;
     if (coordinator.id === self.id) {
       this.#coordinator.finish(service, id, outcome, statements);
       return;
     }
     this.#inUse.delete(id);
-    // If the coordinator misses this message, the slot stays in use until the request's deadline.
-    sendWithDuplicate(coordinator.ipAddress, {
+    // If the coordinator misses this message, the slot stays in use until it checks, or else until the request's deadline.
+    const isChecked = outcome === 'answered' && this.#addressesOfCheckers().has(coordinator.ipAddress);
+    (isChecked ? send : sendWithDuplicate)(coordinator.ipAddress, {
       type: 'finish',
       id,
       use: outcome,
--- a/packages/entryVm/src/common/coordinatorSelector.ts
+++ b/packages/entryVm/src/common/coordinatorSelector.ts
@@ -10,6 +10,8 @@
   readonly ipAddress: string;
   /** The candidate coordinates a proportional share of the single servers. */
   readonly processorCores: number;
+  /** Whether it sends and answers `slot-check`. */
+  readonly checksSlots?: boolean | undefined;
 }
 
 /** Slots that one entry VM coordinates. */
--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -30,6 +30,7 @@
   availabilityZone: z.string().default(''),
   processorCores: z.number().positive(),
   linkMegabitsPerSecond: z.number().positive(),
+  checksSlots: z.boolean().optional(),
 });
 
 /** Description of an entry VM, as stored in its row. */
@@ -41,6 +42,8 @@
   /** Entry VMs with more cores take a larger share of the common work. */
   readonly processorCores: number;
   readonly linkMegabitsPerSecond: number;
+  /** Whether it sends and answers `slot-check`. Absent in rows of entry VMs that run an older version. */
+  readonly checksSlots?: boolean | undefined;
 }
 
 /** Relative capacity of an entry VM for a role that sends messages to all others. */
@@ -256,7 +259,7 @@
           {
             table: CONTROL_TABLE,
             key: ENTRY_VM_PREFIX + id,
-            value: JSON.stringify(value),
+            value: JSON.stringify({ ...value, checksSlots: true }),
           },
         ],
         deletes: [],
--- a/packages/entryVm/src/common/frequentMessages.ts
+++ b/packages/entryVm/src/common/frequentMessages.ts
@@ -355,6 +355,7 @@
       case 'assignment-change':
       case 'report':
       case 'crash-evidence':
+      case 'slot-check':
         return undefined;
     }
     writer.setArrayLength(0, this.#sentFields);
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -248,6 +248,7 @@
         this.#options.serverRegistry.recordStatedLeaving(message.serverId, message.serverIncarnation);
         return;
       case 'crash-evidence':
+      case 'slot-check':
       case 'reader-heartbeat':
       case 'table-changes':
       case 'ask':
--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -137,6 +137,7 @@
   'assignment-change': 9,
   report: 10,
   'crash-evidence': 11,
+  'slot-check': 12,
 } as const;
 
 interface MessageLayout {
@@ -227,6 +228,7 @@
     fields: ['lost', 'answered'],
     codecs: { lost: absentIfEmpty, answered: absentIfEmpty },
   },
+  { type: 'slot-check', fields: ['ids'], codecs: { ids: listOf(slotRequestId) } },
 ];
 
 const COMPILED_LAYOUTS = LAYOUTS.map(({ type, fields, codecs }) => ({
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -116,6 +116,11 @@
     /** Fingerprints of requests that got a response after all. */
     answered: z.array(z.string()).default([]),
   }),
+  z.object({
+    /** From a coordinator: a `finish` is expected for each of these slot requests that is not pending or in use. */
+    type: z.literal('slot-check'),
+    ids: z.array(z.string()),
+  }),
   z.object({
     type: z.literal('assignment-change'),
     service: z.string(),
--- a/packages/entryVm/src/common/slotCoordinator.ts
+++ b/packages/entryVm/src/common/slotCoordinator.ts
@@ -16,6 +16,15 @@
 /** A request whose end was not reported is removed this long after its deadline. */
 const REMOTE_REQUEST_EXPIRY_MILLISECONDS = 1_000;
 
+/**
+ * Age of a grant from which on its entry VM is asked whether it is still in use, and interval of further questions. The
+ * first applies while others wait for the server, the second at all times.
+ */
+const CONTENDED_CHECK_MILLISECONDS = 200;
+const CHECK_MILLISECONDS = 1_000;
+/** Keeps a check within one packet. */
+const MAX_IDS_PER_CHECK = 64;
+
 /** A slot request of another entry VM that is queued here or has been granted. */
 interface RemoteRequest {
   readonly ipAddress: string;
@@ -23,6 +32,14 @@
   readonly requestedServerId: string | undefined;
   readonly expiresAt: number;
   grantedServerId?: string;
+  /** When the slot was granted, or its entry VM was last asked whether it is in use. */
+  checkedAt: number;
+}
+
+/** Where a slot request is queued: at a server, or at all of a service. */
+interface QueuePlace {
+  readonly service: string;
+  readonly serverId: string | undefined;
 }
 
 /** Decision on a slot request of this entry VM itself. */
@@ -34,8 +51,11 @@
 /** Assigns the slots of the servers that this entry VM coordinates, to local and remote slot requests. */
 export class SlotCoordinator extends DisposableBase {
   readonly #send: (ipAddress: string, message: PeerMessage) => void;
+  readonly #answersChecks: (ipAddress: string) => boolean;
   readonly #schedulers = new Map<string, SlotScheduler>();
   readonly #remoteRequests = new Map<string, RemoteRequest>();
+  /** Slot requests of this entry VM that are queued here. */
+  readonly #localQueued = new Map<string, QueuePlace>();
   readonly #onDidDecide = new Emitter<LocalDecision>();
   #isLeaving = false;
 
@@ -46,14 +66,20 @@
   /** Fires for slot requests of this entry VM. */
   readonly onDidDecide = this.#onDidDecide.event;
 
-  constructor(send: (ipAddress: string, message: PeerMessage) => void) {
+  /** @param answersChecks whether the entry VM at an address answers `slot-check`. */
+  constructor(
+    send: (ipAddress: string, message: PeerMessage) => void,
+    answersChecks: (ipAddress: string) => boolean,
+  ) {
     super();
     this.#send = send;
+    this.#answersChecks = answersChecks;
     const timer = setInterval(() => {
       for (const [service, scheduler] of this.#schedulers) {
         this.#deliver(service, scheduler.tick(performance.now()));
       }
       this.#removeExpiredRequests();
+      this.#checkGrants();
     }, TICK_MILLISECONDS);
     this.register(
       toDisposable(() => {
@@ -86,11 +112,13 @@
 
   /** Submits a slot request of this entry VM; `onDidDecide` fires with the decision. */
   submit(service: string, request: SlotRequest): void {
+    this.#localQueued.set(request.id, { service, serverId: request.serverId });
     this.#deliver(service, this.#schedulerFor(service).submit(request, performance.now()));
   }
 
   /** Ends an attempt and releases its slot, or withdraws a request that is still queued. */
   finish(service: string, requestId: string, outcome: AttemptOutcome, statements?: RateStatement): void {
+    this.#localQueued.delete(requestId);
     const scheduler = this.#schedulerFor(service);
     this.#deliver(service, scheduler.finish(requestId, outcome, performance.now(), statements));
   }
@@ -124,6 +152,7 @@
       service,
       requestedServerId: serverId,
       expiresAt: deadlineAt + REMOTE_REQUEST_EXPIRY_MILLISECONDS,
+      checkedAt: now,
     });
     const decisions = this.#schedulerFor(service).submit(
       { id, serverId, excludedIds, availabilityZone, rank, bodyBytes, responseBytes, goalAt, deadlineAt },
@@ -147,6 +176,7 @@
     for (const decision of decisions) {
       const remote = this.#remoteRequests.get(decision.slotRequestId);
       if (remote === undefined) {
+        this.#localQueued.delete(decision.slotRequestId);
         this.#onDidDecide.fire({ service, decision });
       } else {
         this.#sendDecision(remote, decision);
@@ -158,6 +188,7 @@
     switch (decision.kind) {
       case 'granted':
         remote.grantedServerId = decision.serverId;
+        remote.checkedAt = performance.now();
         this.#send(remote.ipAddress, grantMessage(decision.slotRequestId, remote, decision.serverId));
         return;
       case 'refused':
@@ -181,6 +212,51 @@
     }
   }
 
+  /**
+   * Asks the entry VMs whether old grants are still in use. Load pattern: the message that ends an attempt is lost, and
+   * requests wait for a slot that looks taken. Those that end in time cost no message.
+   */
+  #checkGrants(): void {
+    const now = performance.now();
+    const checks = new Map<string, string[]>();
+    let waitedFor: ReadonlySet<string> | undefined;
+    for (const [id, remote] of this.#remoteRequests) {
+      const { service, grantedServerId, ipAddress } = remote;
+      const age = now - remote.checkedAt;
+      if (grantedServerId === undefined || age < CONTENDED_CHECK_MILLISECONDS) {
+        continue;
+      }
+      waitedFor ??= this.#placesWaitedFor();
+      const isContended =
+        waitedFor.has(placeName(service, grantedServerId)) || waitedFor.has(placeName(service, undefined));
+      if ((isContended || age >= CHECK_MILLISECONDS) && this.#answersChecks(ipAddress)) {
+        remote.checkedAt = now;
+        const ids = checks.get(ipAddress) ?? [];
+        checks.set(ipAddress, ids);
+        ids.push(id);
+      }
+    }
+    for (const [ipAddress, ids] of checks) {
+      for (let start = 0; start < ids.length; start += MAX_IDS_PER_CHECK) {
+        this.#send(ipAddress, { type: 'slot-check', ids: ids.slice(start, start + MAX_IDS_PER_CHECK) });
+      }
+    }
+  }
+
+  /** Names of the places at which slot requests are queued. */
+  #placesWaitedFor(): ReadonlySet<string> {
+    const names = new Set<string>();
+    for (const { service, serverId } of this.#localQueued.values()) {
+      names.add(placeName(service, serverId));
+    }
+    for (const { service, requestedServerId, grantedServerId } of this.#remoteRequests.values()) {
+      if (grantedServerId === undefined) {
+        names.add(placeName(service, requestedServerId));
+      }
+    }
+    return names;
+  }
+
   #schedulerFor(service: string): SlotScheduler {
     const known = this.#schedulers.get(service);
     if (known !== undefined) {
@@ -194,6 +270,10 @@
   }
 }
 
+function placeName(service: string, serverId: string | undefined): string {
+  return `${service} ${serverId ?? ''}`;
+}
+
 /** The server is named only if the request left the choice to the coordinator. */
 function grantMessage(
   id: string,
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -213,6 +213,7 @@
       case 'assignment-change':
       case 'server-leaving':
       case 'crash-evidence':
+      case 'slot-check':
         return false;
     }
   }
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -4,6 +4,7 @@
 import type { SlotResult, SlotRequirements } from '@hickoryhoist/dispatch/common/slotSource.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { CoordinatedSlots } from '../coordinatedSlots.js';
+import type { CoordinatorCandidate } from '../coordinatorSelector.js';
 import type { PeerMessage } from '../peerMessage.js';
 
 const SERVICE = 'circulation';
@@ -27,6 +28,10 @@
   readonly events: string[] = [];
   /** Every n-th message is dropped. */
   dropsEvery = Number.POSITIVE_INFINITY;
+  /** Number of messages that each VM has sent, by type. */
+  readonly sent = new Map<PeerMessage['type'], number>();
+  /** Messages of this type that are still to be dropped. */
+  readonly drops = new Map<PeerMessage['type'], number>();
   #messageCount = 0;
   readonly #logger: Logger = {
     log: (_level, event) => {
@@ -34,10 +39,19 @@
     },
   };
 
-  constructor(count: number) {
+  /** @param older entry VMs that run a version without `slot-check`. */
+  constructor(
+    count: number,
+    readonly older: readonly string[] = [],
+  ) {
     const ids = Array.from({ length: count }, (_, index) => `vm-${index.toString()}`);
-    const entryVms = ids.map((id) => ({ id, ipAddress: id, processorCores: 1 }));
-    for (const self of entryVms) {
+    const listFor = (reader: string): readonly CoordinatorCandidate[] =>
+      ids.map((id) => ({
+        ...{ id, ipAddress: id, processorCores: 1 },
+        checksSlots: older.includes(id) || older.includes(reader) ? undefined : true,
+      }));
+    for (const self of listFor('')) {
+      const entryVms = listFor(self.id);
       const send = (to: string, message: PeerMessage): void => {
         this.#send(self.id, to, message);
       };
@@ -89,9 +103,15 @@
 
   #send(from: string, to: string, message: PeerMessage): void {
     this.#messageCount += 1;
-    if (this.#messageCount % this.dropsEvery === 0) {
+    this.sent.set(message.type, (this.sent.get(message.type) ?? 0) + 1);
+    const drops = this.drops.get(message.type) ?? 0;
+    this.drops.set(message.type, Math.max(0, drops - 1));
+    if (this.#messageCount % this.dropsEvery === 0 || drops > 0) {
       return;
     }
+    if (message.type === 'slot-check') {
+      assert.not(this.older.includes(to), 'an older version cannot read the datagram');
+    }
     setTimeout(
       () => {
         if (!this.partitioned.has(from) && !this.partitioned.has(to)) {
@@ -110,8 +130,12 @@
   }
 }
 
-async function withRig(count: number, test: (rig: Rig) => Promise<void>): Promise<void> {
-  const rig = new Rig(count);
+async function withRig(
+  count: number,
+  test: (rig: Rig) => Promise<void>,
+  older?: readonly string[],
+): Promise<void> {
+  const rig = new Rig(count, older);
   try {
     await test(rig);
   } finally {
@@ -280,6 +304,105 @@
     });
   });
 
+  describe('when the end of an attempt is lost', () => {
+    const VMS = ['vm-0', 'vm-1', 'vm-2'];
+    /** Longest time for which a server may miss a slot that requests wait for, beyond a round trip. */
+    const MAX_HELD_MILLISECONDS = 250 + 10;
+
+    async function loseFinish(rig: Rig, requester: string, inUseMilliseconds: number): Promise<void> {
+      const seen = collectResults(
+        Array.from({ length: MAX_ATTEMPTS_PER_SERVER }, () => rig.acquire(requester)),
+      );
+      await rig.clock.tickAsync(inUseMilliseconds);
+      const others = collectResults([...rig.vms.keys()].map((vm) => rig.acquire(vm)));
+      await rig.clock.tickAsync(20);
+      rig.drops.set('finish', 1);
+      seen.granted.slice(0, 1).forEach(finish);
+      await rig.clock.tickAsync(MAX_HELD_MILLISECONDS);
+      assert.is(others.granted.length, 1, `${requester} after ${inUseMilliseconds.toString()} ms`);
+      rig.drops.clear();
+      seen.granted.slice(1).forEach(finish);
+      await rig.clock.tickAsync(20);
+      others.granted.forEach(finish);
+      await rig.clock.tickAsync(5_000);
+    }
+
+    it('gives its slot to a waiting request within 250 ms, and no other slot', () =>
+      withRig(VMS.length, async (rig) => {
+        for (const requester of VMS) {
+          for (const inUseMilliseconds of [25, 190, 260, 900]) {
+            await loseFinish(rig, requester, inUseMilliseconds);
+          }
+        }
+      }));
+
+    for (const older of [['vm-0'], ['vm-0', 'vm-1'], VMS]) {
+      it(`does so while ${older.join(', ')} of three run an older version`, () =>
+        withRig(
+          VMS.length,
+          async (rig) => {
+            for (const requester of VMS) {
+              await loseFinish(rig, requester, 190);
+            }
+          },
+          older,
+        ));
+    }
+
+    it('leaves the slot to a request whose grant was lost', () =>
+      withRig(VMS.length, async (rig) => {
+        for (const requester of VMS) {
+          const inUse = collectResults(
+            Array.from({ length: MAX_ATTEMPTS_PER_SERVER }, () => rig.acquire(requester)),
+          );
+          await rig.clock.tickAsync(20);
+          const first = collectResults([rig.acquire(requester)]);
+          await rig.clock.tickAsync(20);
+          const second = collectResults(VMS.map((vm) => rig.acquire(vm)));
+          await rig.clock.tickAsync(20);
+          rig.drops.set('granted', 1);
+          inUse.granted.slice(0, 1).forEach(finish);
+          await rig.clock.tickAsync(600);
+          assert.equal([first.granted.length, second.granted.length], [1, 0]);
+          rig.drops.clear();
+          [...inUse.granted.slice(1), ...first.granted].forEach(finish);
+          await rig.clock.tickAsync(20);
+          second.granted.forEach(finish);
+          await rig.clock.tickAsync(5_000);
+        }
+      }));
+
+    it('gives it back after a second although nothing waits for it', () =>
+      withRig(VMS.length, async (rig) => {
+        for (const requester of VMS) {
+          const seen = collectResults([rig.acquire(requester)]);
+          await rig.clock.tickAsync(20);
+          rig.drops.set('finish', 1);
+          seen.granted.forEach(finish);
+          await rig.clock.tickAsync(1_100);
+          const next = collectResults(
+            Array.from({ length: MAX_ATTEMPTS_PER_SERVER }, () => rig.acquire(requester)),
+          );
+          await rig.clock.tickAsync(20);
+          assert.is(next.granted.length, MAX_ATTEMPTS_PER_SERVER);
+          next.granted.forEach(finish);
+          await rig.clock.tickAsync(20);
+        }
+      }));
+  });
+
+  it('needs three messages for a request that waits for nothing and ends within a second', () =>
+    withRig(3, async (rig) => {
+      for (const requester of rig.vms.keys()) {
+        const seen = collectResults([rig.acquire(requester)]);
+        await rig.clock.tickAsync(900);
+        seen.granted.forEach(finish);
+        await rig.clock.tickAsync(5_000);
+      }
+      const others = rig.vms.size - 1;
+      assert.equal(Object.fromEntries(rig.sent), { ask: others, granted: others, finish: others });
+    }));
+
   it('withdraws a request when its caller disconnects', async () => {
     await withRig(3, async (rig) => {
       const inUse = collectResults(
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -135,6 +135,7 @@
     { noNullPrototype: true },
   ),
   'server-leaving': fc.record({ serverId: text, serverIncarnation: number }, { noNullPrototype: true }),
+  'slot-check': fc.record({ ids: fc.array(requestId, { maxLength: 4 }) }, { noNullPrototype: true }),
   'assignment-change': fc.record(
     {
       service: text,
