--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -66,12 +66,19 @@
   readonly #coordinator: SlotCoordinator;
   readonly #selector: CoordinatorSelector;
   readonly #pending = new Map<string, PendingRequest>();
+  /** Address of the coordinator by the identifier of the slot request, for slots in use that another entry VM granted. */
+  readonly #inUse = new Map<string, string>();
   #nextId = 1;
+  #checkers: ReadonlySet<string> = new Set();
+  /** The entry VMs from which `#checkers` was made. */
+  #knownEntryVms: readonly CoordinatorCandidate[] = [];
 
   constructor(options: CoordinatedSlotsOptions) {
     super();
     this.#options = options;
-    this.#coordinator = this.register(new SlotCoordinator(options.send));
+    this.#coordinator = this.register(
+      new SlotCoordinator(options.send, (ipAddress) => this.#addressesOfCheckers().has(ipAddress)),
+    );
     this.#selector = new CoordinatorSelector(options.self, options.entryVms, options.logger);
     this.register(
       this.#coordinator.onDidDecide((decision) => {
@@ -176,6 +183,9 @@
         }
         return true;
       }
+      case 'slot-check':
+        this.#receiveCheck(ipAddress, message.ids);
+        return true;
       case 'granted':
         this.#selector.recordResponse(ipAddress);
         this.#receiveGrant(ipAddress, message.id, message.serverId);
@@ -204,7 +214,11 @@
     return pending?.coordinator.ipAddress === ipAddress ? pending : undefined;
   }
 
+  /** Load pattern: an overloaded coordinator gets a request twice before it answers, and grants it twice. */
   #receiveGrant(ipAddress: string, id: string, chosenServerId: string | undefined): void {
+    if (this.#inUse.get(id) === ipAddress) {
+      return;
+    }
     const pending = this.#pendingAt(ipAddress, id);
     const serverId = chosenServerId ?? pending?.requirements.serverId;
     if (pending === undefined || serverId === undefined) {
@@ -215,6 +229,27 @@
     this.#complete(pending, { kind: 'granted', slot: this.#createSlot(pending, serverId) });
   }
 
+  /** Load pattern: a `finish` was lost while many requests wait for its slot. Its outcome and statements are not repeated. */
+  #receiveCheck(ipAddress: string, ids: readonly string[]): void {
+    for (const id of ids) {
+      if (this.#inUse.get(id) !== ipAddress && this.#pendingAt(ipAddress, id) === undefined) {
+        this.#options.send(ipAddress, { type: 'finish', id, use: 'cancelled' });
+      }
+    }
+  }
+
+  /** Addresses of the entry VMs that send and answer `slot-check`. */
+  #addressesOfCheckers(): ReadonlySet<string> {
+    const current = this.#options.entryVms();
+    if (current !== this.#knownEntryVms) {
+      this.#knownEntryVms = current;
+      this.#checkers = new Set(
+        current.flatMap(({ ipAddress, checksSlots }) => (checksSlots === true ? [ipAddress] : [])),
+      );
+    }
+    return this.#checkers;
+  }
+
   #receiveRejection(ipAddress: string, message: Extract<PeerMessage, { type: 'refused' }>): void {
     const pending = this.#pendingAt(ipAddress, message.id);
     if (pending === undefined) {
@@ -314,6 +349,9 @@
   }
 
   #createSlot(pending: PendingRequest, serverId: string): Slot {
+    if (pending.coordinator.id !== this.#options.self.id) {
+      this.#inUse.set(pending.id, pending.coordinator.ipAddress);
+    }
     return {
       serverId,
       coordinatorId: pending.coordinator.id,
@@ -332,13 +370,15 @@
     outcome: AttemptOutcome,
     statements?: ServerStatements,
   ): void {
-    const { self, sendWithDuplicate } = this.#options;
+    const { self, send, sendWithDuplicate } = this.#options;
     if (coordinator.id === self.id) {
       this.#coordinator.finish(service, id, outcome, statements);
       return;
     }
-    // If the coordinator misses this message, the slot stays in use until the request's deadline.
-    sendWithDuplicate(coordinator.ipAddress, {
+    this.#inUse.delete(id);
+    // If the coordinator misses this message, the slot stays in use until it checks, or else until the request's deadline.
+    const isChecked = outcome === 'answered' && this.#addressesOfCheckers().has(coordinator.ipAddress);
+    (isChecked ? send : sendWithDuplicate)(coordinator.ipAddress, {
       type: 'finish',
       id,
       use: outcome,
--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -30,6 +30,7 @@
   availabilityZone: z.string().default(''),
   processorCores: z.number().positive(),
   linkMegabitsPerSecond: z.number().positive(),
+  checksSlots: z.boolean().optional(),
 });
 
 /** Description of an entry VM, as stored in its row. */
@@ -41,6 +42,8 @@
   /** Entry VMs with more cores take a larger share of the common work. */
   readonly processorCores: number;
   readonly linkMegabitsPerSecond: number;
+  /** Whether it sends and answers `slot-check`. Absent in rows of entry VMs that run an older version. */
+  readonly checksSlots?: boolean | undefined;
 }
 
 /** Relative capacity of an entry VM for a role that sends messages to all others. */
@@ -68,7 +71,7 @@
   readonly #rows: EntryVmRows;
   readonly #logger: Logger;
   /** Sender's incarnation and time of the last message, by ID. */
-  readonly #lastMessages = new Map<string, { readonly incarnation: string; readonly at: number }>();
+  readonly #lastMessages = new Map<string, { incarnation: string; at: number }>();
   #isWriting = false;
   #isLeaving = false;
   #nextWriteAt = 0;
@@ -159,7 +162,13 @@
   }
 
   recordMessage(id: string, incarnation: string): void {
-    this.#lastMessages.set(id, { incarnation, at: performance.now() });
+    const last = this.#lastMessages.get(id);
+    if (last === undefined) {
+      this.#lastMessages.set(id, { incarnation, at: performance.now() });
+    } else {
+      last.incarnation = incarnation;
+      last.at = performance.now();
+    }
   }
 
   /** Whether a different incarnation of the entry VM has sent a message or written its row. */
@@ -250,7 +259,7 @@
           {
             table: CONTROL_TABLE,
             key: ENTRY_VM_PREFIX + id,
-            value: JSON.stringify(value),
+            value: JSON.stringify({ ...value, checksSlots: true }),
           },
         ],
         deletes: [],
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -1,6 +1,14 @@
 import * as z from 'zod';
 import { encodedDeltaSchema } from '@hickoryhoist/keyownership/common/keyAssignmentDelta.js';
-import { type DatagramSender, decodeCompact, encodeCompact, encodeDatagramHead } from './peerCodec.js';
+import { FrequentDatagramReader, FrequentMessageWriter } from './frequentMessages.js';
+import {
+  type DatagramSender,
+  decodeCompact,
+  encodeCompact,
+  encodeDatagramHead,
+  FINISH_USES,
+  REFUSALS,
+} from './peerCodec.js';
 
 const slotRequestSchema = z.object({
   type: z.literal('ask'),
@@ -30,7 +38,7 @@
   z.object({
     type: z.literal('refused'),
     id: z.string(),
-    refusal: z.enum(['no-server', 'overloaded', 'unreachable', 'not-coordinating']),
+    refusal: z.enum(REFUSALS),
     retryAfter: z.number(),
     /** Data behind the decision, for the log of the requesting entry VM. */
     basis: z
@@ -49,7 +57,7 @@
   z.object({
     type: z.literal('finish'),
     id: z.string(),
-    use: z.enum(['answered', 'failed', 'refused', 'unreachable', 'silent', 'cancelled']),
+    use: z.enum(FINISH_USES),
     /** What the server stated about its rate in its response; absent if there was no response. */
     statements: z
       .object({
@@ -108,6 +116,11 @@
     /** Fingerprints of requests that got a response after all. */
     answered: z.array(z.string()).default([]),
   }),
+  z.object({
+    /** From a coordinator: a `finish` is expected for each of these slot requests that is not pending or in use. */
+    type: z.literal('slot-check'),
+    ids: z.array(z.string()),
+  }),
   z.object({
     type: z.literal('assignment-change'),
     service: z.string(),
@@ -157,7 +170,9 @@
 const COMPACT_FORMAT = 2;
 /** First byte of a datagram in JSON; the compact form is an array and begins otherwise. */
 const JSON_START = '{'.charCodeAt(0);
-const JSON_COMMA = Buffer.from(',');
+const frequentReader = new FrequentDatagramReader(COMPACT_FORMAT);
+const frequentWriter = new FrequentMessageWriter();
+const JSON_COMMA = ','.charCodeAt(0);
 const JSON_END = Buffer.from(']}');
 /** Bandwidth below which bytes are worth the processor time of the compact form, in Mbit/s. */
 const SCARCE_LINK_MEGABITS_PER_SECOND = 500;
@@ -174,14 +189,86 @@
 ): EncodedMessage {
   switch (format) {
     case 'compact':
-      return { type: message.type, bytes: encodeCompact(message, sender) };
+      return {
+        type: message.type,
+        bytes: frequentWriter.encode(message) ?? encodeCompact(message, sender),
+      };
     case 'json':
       return { type: message.type, bytes: Buffer.from(JSON.stringify(message)) };
   }
 }
 
 /**
- * Combines messages that were encoded in the same form into a datagram.
+ * Combines messages that were encoded in the same form into datagrams. Load pattern: most datagrams have one message, and
+ * heartbeats go to all entry VMs, so the parts that stay the same are kept.
+ */
+export class DatagramEncoder {
+  readonly #sender: DatagramSender;
+  readonly #sourceAddress: string;
+  readonly #format: MessageFormat;
+  /** First part of a datagram by the number of its messages. */
+  readonly #heads: (Uint8Array | undefined)[] = [];
+  #lastMessage: EncodedMessage | undefined;
+  #lastDatagram: Uint8Array = new Uint8Array();
+
+  /** @param sourceAddress IP address from which datagrams are sent. */
+  constructor(sender: DatagramSender, sourceAddress: string, format: MessageFormat = 'compact') {
+    this.#sender = sender;
+    this.#sourceAddress = sourceAddress;
+    this.#format = format;
+  }
+
+  /** @returns bytes that must not be changed. */
+  encode(messages: readonly EncodedMessage[]): Uint8Array {
+    const [message] = messages;
+    if (message === undefined || messages.length > 1) {
+      return this.#encode(messages);
+    }
+    if (message !== this.#lastMessage) {
+      this.#lastMessage = message;
+      this.#lastDatagram = this.#encode(messages);
+    }
+    return this.#lastDatagram;
+  }
+
+  #encode(messages: readonly EncodedMessage[]): Uint8Array {
+    const head = (this.#heads[messages.length] ??= this.#encodeHead(messages.length));
+    const isJson = this.#format === 'json';
+    let length = head.length + (isJson ? Math.max(0, messages.length - 1) + JSON_END.length : 0);
+    for (const { bytes } of messages) {
+      length += bytes.length;
+    }
+    const datagram = Buffer.allocUnsafe(length);
+    datagram.set(head);
+    let offset = head.length;
+    for (const { bytes } of messages) {
+      if (isJson && offset > head.length) {
+        datagram[offset] = JSON_COMMA;
+        offset += 1;
+      }
+      datagram.set(bytes, offset);
+      offset += bytes.length;
+    }
+    if (isJson) {
+      datagram.set(JSON_END, offset);
+    }
+    return datagram;
+  }
+
+  #encodeHead(messageCount: number): Uint8Array {
+    switch (this.#format) {
+      case 'compact':
+        return encodeDatagramHead(COMPACT_FORMAT, this.#sender, this.#sourceAddress, messageCount);
+      case 'json': {
+        const { id: from, incarnation } = this.#sender;
+        return Buffer.from(`${JSON.stringify({ from, incarnation }).slice(0, -1)},"messages":[`);
+      }
+    }
+  }
+}
+
+/**
+ * Combines messages that were encoded in the same form into one datagram.
  * @param sourceAddress IP address from which the datagram is sent.
  */
 export function encodeDatagram(
@@ -190,22 +277,16 @@
   messages: readonly EncodedMessage[],
   format: MessageFormat = 'compact',
 ): Uint8Array {
-  switch (format) {
-    case 'compact': {
-      const head = encodeDatagramHead(COMPACT_FORMAT, sender, sourceAddress, messages.length);
-      return Buffer.concat([head, ...messages.map(({ bytes }) => bytes)]);
-    }
-    case 'json': {
-      const { id: from, incarnation } = sender;
-      const head = JSON.stringify({ from, incarnation }).slice(0, -1);
-      const parts = messages.flatMap(({ bytes }, index) => (index === 0 ? [bytes] : [JSON_COMMA, bytes]));
-      return Buffer.concat([Buffer.from(`${head},"messages":[`), ...parts, JSON_END]);
-    }
-  }
+  return new DatagramEncoder(sender, sourceAddress, format).encode(messages);
 }
 
 /** @returns undefined if the bytes are not a valid datagram. */
 export function decodeDatagram(bytes: Uint8Array, sourceAddress: string): PeerDatagram | undefined {
+  return frequentReader.read(bytes, sourceAddress) ?? decodeAnyDatagram(bytes, sourceAddress);
+}
+
+/** Decodes a datagram in any form and checks it against the schema, which defines what is valid. */
+export function decodeAnyDatagram(bytes: Uint8Array, sourceAddress: string): PeerDatagram | undefined {
   try {
     const datagram: unknown =
       bytes[0] === JSON_START
