Do not let callers of a hot key keep others from the same server

While one key got many times the requests that its owner serves, callers of the owner's other keys were refused as often as those of the hot key, although they asked for a fifth of the server or less, until their keys had other owners: all requests for a server waited in one queue, filled up to what could still meet its goal. And most of what was served for the hot key came late, because the request with the least time left went first.

The slot request now carries the key, as an optional last field of `ask`. A coordinator counts requests by key, and puts those for keys above their max-min fair share, and above 0.4 of the server by two standard deviations, behind the others of their rank, also those that wait already. Among themselves they are ordered by the time at which they have to start, and those that come too late for it go last.

--- a/packages/dispatch/src/common/requestDispatcher.ts
+++ b/packages/dispatch/src/common/requestDispatcher.ts
@@ -245,6 +245,7 @@
         request.service,
         {
           serverId: owner,
+          key: owner === undefined ? undefined : request.key,
           excludedIds: [...excludedIds],
           availabilityZone: this.#availabilityZone,
           rank: request.route.rank,
--- a/packages/dispatch/src/common/serviceCapacity.ts
+++ b/packages/dispatch/src/common/serviceCapacity.ts
@@ -17,13 +17,18 @@
   return { inFlight: 0, slots: 0, completionRate: 0, totalMilliseconds: 0, servers: 0 };
 }
 
+/** Requests per millisecond that can start at a server while all of its slots are busy. */
+export function completionRate(server: ServerStatistics, now: number): number {
+  const requestsPerSecond = server.requestsPerSecond(now) ?? Number.POSITIVE_INFINITY;
+  return Math.min(server.slotsWithinPace / server.expectedMilliseconds(now), requestsPerSecond / 1_000);
+}
+
 /** Adds the capacity of one server. */
 export function addServer(capacity: ServiceCapacity, server: ServerStatistics, now: number): void {
   const milliseconds = server.expectedMilliseconds(now);
-  const requestsPerSecond = server.requestsPerSecond(now) ?? Number.POSITIVE_INFINITY;
   capacity.inFlight += server.inFlight;
   capacity.slots += Math.min(server.slots, server.inFlight + server.requestsAdmitted(now));
-  capacity.completionRate += Math.min(server.slotsWithinPace / milliseconds, requestsPerSecond / 1_000);
+  capacity.completionRate += completionRate(server, now);
   capacity.totalMilliseconds += milliseconds;
   capacity.servers += 1;
 }
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -1,3 +1,4 @@
+import { KeyDemand } from './keyDemand.js';
 import type { ProcessingTimeEstimate } from './processingTimes.js';
 import { ReturnSchedule } from './returnSchedule.js';
 import { hasCapacity, placementCost } from './serverPlacement.js';
@@ -6,12 +7,13 @@
 import type { AttemptOutcome, ServerStatistics } from './serverStatistics.js';
 import {
   addServer,
+  completionRate,
   emptyCapacity,
   processingMilliseconds,
   type ServiceCapacity,
   waitMilliseconds,
 } from './serviceCapacity.js';
-import { SlotQueue } from './slotQueue.js';
+import { type QueuePosition, SlotQueue } from './slotQueue.js';
 import type { RateStatement } from './serverStatements.js';
 import type { SlotRequest } from './slotRequest.js';
 
@@ -82,6 +84,8 @@
   readonly #queueKeys = new Map<string, string>();
   /** When refused callers return, by key of the queue. */
   readonly #returnSchedules = new Map<string, ReturnSchedule>();
+  /** Requests by key, by server. */
+  readonly #keyDemands = new Map<string, KeyDemand>();
   #averageMilliseconds = INITIAL_PROCESSING_MILLISECONDS;
 
   /** @param onDidChangePace called when the number of requests changes that a server may have in flight. */
@@ -111,6 +115,7 @@
   setServers(servers: readonly SchedulableServer[], now: number): readonly SlotDecision[] {
     for (const id of this.#servers.replace(servers, this.#averageMilliseconds, now)) {
       this.#returnSchedules.delete(id);
+      this.#keyDemands.delete(id);
     }
     return this.#reviewQueues(now);
   }
@@ -124,16 +129,17 @@
     if (owner?.isEjected(now) === true) {
       return [this.#refuse(request, 'unreachable', owner.remainingEjectionMilliseconds(now), now)];
     }
+    const position = this.#positionOf(request, owner, now);
     const server = this.#chooseServer(request, now);
-    if (server !== undefined && this.#countAhead(request, now) === 0) {
+    if (server !== undefined && this.#countAhead(request, now, position) === 0) {
       return [this.#grantOrRefuse(request, server, now)];
     }
-    const refusal = this.#refusalOnArrival(request, now);
+    const refusal = this.#refusalOnArrival(request, now, position);
     if (refusal !== undefined) {
       return [refusal];
     }
     const key = request.serverId ?? POOL;
-    this.#queueFor(key).add(request, now);
+    this.#queueFor(key).add(request, now, position);
     this.#queueKeys.set(request.id, key);
     return this.#processQueue(key, now);
   }
@@ -306,25 +312,44 @@
     return best;
   }
 
+  /** The place of a new request in the queue. Its key counts as asked for once more. */
+  #positionOf({ key, goalAt }: SlotRequest, owner: ServerStatistics | undefined, now: number): QueuePosition {
+    if (owner === undefined || key === undefined) {
+      return { share: 'within', startBy: goalAt };
+    }
+    const demand = this.#keyDemands.get(owner.id) ?? new KeyDemand();
+    this.#keyDemands.set(owner.id, demand);
+    const wasAbove = demand.isAbove(key);
+    if (demand.record(key, completionRate(owner, now), now) === 'within') {
+      return { share: 'within', startBy: goalAt };
+    }
+    // Others wait for the same key, so one that is late anyway does not go before those that are not.
+    const processing = owner.expectedMilliseconds(now);
+    if (!wasAbove) {
+      this.#queues.get(owner.id)?.putBehind(key, (queued) => queued.goalAt - processing, now);
+    }
+    return { share: 'above', startBy: goalAt - processing };
+  }
+
   /** Number of queued requests that get a slot before a new one. */
-  #countAhead(request: SlotRequest, now: number): number {
+  #countAhead(request: SlotRequest, now: number, position: QueuePosition): number {
     if (request.serverId !== undefined) {
-      const pool = this.#queues.get(POOL)?.countAhead(request, now) ?? 0;
-      return pool + (this.#queues.get(request.serverId)?.countAhead(request, now) ?? 0);
+      const pool = this.#queues.get(POOL)?.countAhead(request, now, position) ?? 0;
+      return pool + (this.#queues.get(request.serverId)?.countAhead(request, now, position) ?? 0);
     }
     let count = 0;
     for (const queue of this.#queues.values()) {
-      count += queue.countAhead(request, now);
+      count += queue.countAhead(request, now, position);
     }
     return count;
   }
 
-  #refusalOnArrival(request: SlotRequest, now: number): SlotDecision | undefined {
+  #refusalOnArrival(request: SlotRequest, now: number, position: QueuePosition): SlotDecision | undefined {
     const capacity = this.#capacityFor(request, now);
     if (capacity.servers === 0) {
       return this.#refuse(request, 'no-server', NO_SERVER_WAIT_MILLISECONDS, now);
     }
-    const wait = waitMilliseconds(capacity, this.#countAhead(request, now));
+    const wait = waitMilliseconds(capacity, this.#countAhead(request, now, position));
     const processing = processingMilliseconds(capacity);
     const endsAt = now + wait + processing;
     if (endsAt <= Math.min(request.goalAt, request.deadlineAt)) {
--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -131,6 +131,7 @@
       'responseBytes',
       'availabilityZone',
       'excludedIds',
+      'key',
     ],
     codecs: {
       id: slotRequestId,
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -16,6 +16,8 @@
   /** Milliseconds until the time goal; negative if it has passed. */
   goalIn: z.number(),
   deadlineIn: z.number(),
+  /** The key for which the server is asked. Absent in older versions. */
+  key: z.number().optional(),
 });
 
 const peerMessageSchema = z.discriminatedUnion('type', [
--- a/packages/entryVm/src/common/slotCoordinator.ts
+++ b/packages/entryVm/src/common/slotCoordinator.ts
@@ -101,7 +101,8 @@
   }
 
   receiveRequest(ipAddress: string, message: SlotRequestMessage): void {
-    const { id, service, serverId, excludedIds, availabilityZone, rank, bodyBytes, responseBytes } = message;
+    const { id, service, serverId, key, excludedIds, availabilityZone, rank } = message;
+    const { bodyBytes, responseBytes } = message;
     const known = this.#remoteRequests.get(id);
     if (known !== undefined) {
       this.#send(
@@ -126,7 +127,18 @@
       expiresAt: deadlineAt + REMOTE_REQUEST_EXPIRY_MILLISECONDS,
     });
     const decisions = this.#schedulerFor(service).submit(
-      { id, serverId, excludedIds, availabilityZone, rank, bodyBytes, responseBytes, goalAt, deadlineAt },
+      {
+        id,
+        serverId,
+        key,
+        excludedIds,
+        availabilityZone,
+        rank,
+        bodyBytes,
+        responseBytes,
+        goalAt,
+        deadlineAt,
+      },
       now,
     );
     this.#deliver(service, decisions);
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -42,6 +42,7 @@
       responseBytes: number,
       goalIn: number,
       deadlineIn: number,
+      key: number,
     },
     {
       requiredKeys: [
@@ -326,6 +327,7 @@
       bodyBytes: 1_200,
       goalIn: 795,
       deadlineIn: 3_995,
+      key: 54_536,
     });
     const granted = packetBytes({ type: 'granted', id });
     const finish = packetBytes({ type: 'finish', id, use: 'answered', statements: {} });
