Move a hot key to a faster server once in a surge

A key that became hot on a slow server stayed there, although another server is twice as fast and had room: on a deployment whose two hot keys make up nearly all refusals, one of them got 985 requests in 5 s, of which its owner served 184 where the owner of the other one served 491. The planner counts refused requests, too, but it could only move the other keys away, because a key that exceeds its owner exceeds the headroom of any server.

The assigner now looks for keys whose own requests of the last 800 ms exceed their owner, and compares what each server would serve in the rest of the surge, less the transfer, which waits for the requests in flight, the first requests, and the time until its other keys have left. The key moves alone, once in a surge, for a gain of at least a tenth. Measured speeds count only as far as they differ more than those of equal servers would.

`keyAssigner.test.ts` replays it with commands and writes, and fails without the moves: the key stays with `server-1`.

--- a/packages/entryVm/src/common/assignableServers.ts
+++ b/packages/entryVm/src/common/assignableServers.ts
@@ -41,7 +41,8 @@
     return new Map(
       servers.map((server) => {
         const { id, incarnation, address, slots } = server;
-        const requestsPerSecond = (slots * 1_000) / Math.max(1, milliseconds.get(id) ?? 1);
+        const processingMilliseconds = Math.max(1, milliseconds.get(id) ?? 1);
+        const requestsPerSecond = (slots * 1_000) / processingMilliseconds;
         return [
           id,
           {
@@ -50,6 +51,7 @@
             address,
             phase: this.#phaseOf(server),
             requestsPerSecond,
+            processingMilliseconds,
             maxReceivedRequestsPerSecond: this.#maxReceivedRate(server, requestsPerSecond),
           },
         ];
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -370,6 +370,7 @@
             servers: () => assignableServers.ofService(service, this.#processingTimes),
             isAbsenceReliable: () => serverRegistry.isAbsenceReliable,
             traffic: () => this.#trafficOf(service).traffic(performance.now()),
+            newestTraffic: () => this.#trafficOf(service).newestTraffic(performance.now()),
             onDidWrite: (delta, rowVersion) => {
               this.#sendDelta(service, delta, rowVersion);
             },
--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -5,6 +5,7 @@
 import { encodeAssignment } from './assignmentRow.js';
 import { readAssignmentRow, type StoredAssignment, writeAssignment } from './assignmentStore.js';
 import { EvacuationRounds } from './evacuationRounds.js';
+import { HotKeyMoves } from './hotKeyMoves.js';
 import type { KeyAssignment, OwnedRange } from './keyAssignment.js';
 import { diffAssignments, type KeyAssignmentDelta } from './keyAssignmentDelta.js';
 import type { KeyGrantClient } from './keyGrantClient.js';
@@ -73,6 +74,8 @@
   /** Whether a server that is absent from the registry can be assumed to have ended. */
   readonly isAbsenceReliable: () => boolean;
   readonly traffic: () => KeyTraffic;
+  /** The newest part of the traffic. */
+  readonly newestTraffic: () => KeyTraffic;
   /** Called after an assignment was written, with its difference from the previous one. */
   readonly onDidWrite: (delta: KeyAssignmentDelta, rowVersion: number) => void;
   /** Called when another process has written the assignment or has become the assigner. */
@@ -113,6 +116,7 @@
   readonly #suspicions = new Map<string, { until: number; duration: number }>();
   #nextBalanceAt = 0;
   readonly #evacuationRounds = new EvacuationRounds();
+  readonly #hotKeyMoves = new HotKeyMoves();
   #lastTickAt = performance.now();
   /** Time since which this process has been running without a pause. */
   #runningSince = Number.NEGATIVE_INFINITY;
@@ -226,18 +230,42 @@
     }
     this.#nextBalanceAt = now + BALANCE_INTERVAL_MILLISECONDS;
     const servers = this.#readyServers();
+    const traffic = this.#options.traffic();
+    const hotKeyMoves = this.#moveHotKeys(now, servers, traffic);
     const maxRanges = Math.min(MAX_RANGES, MAX_RANGES_PER_SERVER * servers.length);
     // Each move splits a range into at most three parts.
     const maxMoves = Math.min(
       Math.max(MIN_MOVE_LIMIT, Math.ceil(servers.length * MOVES_PER_SERVER)),
-      MAX_MOVES,
+      MAX_MOVES - hotKeyMoves,
       Math.max(0, Math.floor((maxRanges - this.#leases.length) / 2)),
     );
-    for (const move of planMoves(this.#rangesAfterMoves(), servers, this.#options.traffic(), maxMoves)) {
+    for (const move of planMoves(this.#rangesAfterMoves(), servers, traffic, maxMoves)) {
       this.#startMove(move);
     }
   }
 
+  /** @returns the number of moves that were started. */
+  #moveHotKeys(now: number, servers: readonly RegisteredServer[], traffic: KeyTraffic): number {
+    const { service, logger, newestTraffic } = this.#options;
+    let count = 0;
+    const ranges = this.#rangesAfterMoves();
+    for (const move of this.#hotKeyMoves.nextMoves(now, ranges, servers, traffic, newestTraffic())) {
+      if (this.#startMove(move)) {
+        count += 1;
+        this.#hotKeyMoves.recordStart(move);
+        logger.log('info', 'hot-key-moved', {
+          service,
+          key: move.from,
+          from: move.range.ownerId,
+          to: move.newOwnerId,
+          demand: Math.round(move.demand),
+          gain: Math.round(move.gain),
+        });
+      }
+    }
+    return count;
+  }
+
   /** Ranges with the owners that they have once the moves in progress are complete. */
   #rangesAfterMoves(isIncluded: (lease: RangeLease) => boolean = () => true): readonly OwnedRange[] {
     return this.#leases.filter(isIncluded).map((lease) => {
@@ -246,11 +274,14 @@
     });
   }
 
-  /** Splits off the moving part of a range and revokes its lease. The remaining parts keep their lease and fence. */
-  #startMove({ from, to, newOwnerId }: PlannedMove): void {
+  /**
+   * Splits off the moving part of a range and revokes its lease. The remaining parts keep their lease and fence.
+   * @returns false if the range cannot move now.
+   */
+  #startMove({ from, to, newOwnerId }: PlannedMove): boolean {
     const lease = this.#leases.find(({ range }) => range.from <= from && to <= range.to);
     if (lease === undefined || !canMove(lease)) {
-      return;
+      return false;
     }
     const { range } = lease;
     const pieces = [
@@ -268,6 +299,7 @@
     }
     this.#destinations.set(moving, newOwnerId);
     moving.revoke(`ownership transfer to ${newOwnerId}`);
+    return true;
   }
 
   #readyServers(): readonly RegisteredServer[] {
--- a/packages/keyOwnership/src/common/keyPlanner.ts
+++ b/packages/keyOwnership/src/common/keyPlanner.ts
@@ -8,6 +8,8 @@
   readonly address: string;
   /** Requests that the server completes per second with all of its slots busy. */
   readonly requestsPerSecond: number;
+  /** Average time that it takes for a request, in milliseconds; undefined if it is not known. */
+  readonly processingMilliseconds?: number | undefined;
   /** Requests per second up to which the server may be given keys while it is cold; undefined otherwise. */
   readonly maxReceivedRequestsPerSecond?: number | undefined;
 }
--- a/packages/keyOwnership/src/common/test/fakes/keyAssignerRig.ts
+++ b/packages/keyOwnership/src/common/test/fakes/keyAssignerRig.ts
@@ -4,6 +4,7 @@
 import { ASSIGNER_ROW_KEY, CONTROL_TABLE } from '../../assignmentStore.js';
 import { KeyAssigner, type RegisteredServer } from '../../keyAssigner.js';
 import { emptyAssignment, LAST_KEY } from '../../keyAssignment.js';
+import type { KeyTraffic } from '../../keyPlanner.js';
 
 const SERVICE = 'catalogue';
 const ASSIGNER_ID = 'vm-1';
@@ -22,6 +23,7 @@
   /** Log events, for diagnosing a failure. */
   readonly trace: string[] = [];
   readonly assigner: KeyAssigner;
+  traffic: KeyTraffic = { sortedKeys: [], seconds: 1 };
   readonly #registered = new Map<string, RegisteredServer>();
 
   constructor(serverIds: readonly string[]) {
@@ -50,7 +52,8 @@
         previousLeaseEndsAt: () => 0,
         servers: () => this.#registered,
         isAbsenceReliable: () => true,
-        traffic: () => ({ sortedKeys: [], seconds: 1 }),
+        traffic: () => this.traffic,
+        newestTraffic: () => this.traffic,
         onDidWrite: () => undefined,
         onDidLoseTerm: (reason) => {
           this.trace.push(`term lost: ${reason}`);
@@ -61,9 +64,9 @@
   }
 
   /** Registers a server, or records its present phase and incarnation. */
-  register(id: string, phase: RegisteredServer['phase'] = 'ready'): void {
+  register(id: string, phase: RegisteredServer['phase'] = 'ready', requestsPerSecond = 10): void {
     const { incarnation } = this.servers.servers.get(id) ?? this.servers.add(id);
-    this.#registered.set(id, { id, incarnation, address: id, phase, requestsPerSecond: 10 });
+    this.#registered.set(id, { id, incarnation, address: id, phase, requestsPerSecond });
   }
 
   unregister(id: string): void {
--- a/packages/keyOwnership/src/common/test/keyAssigner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyAssigner.test.ts
@@ -128,6 +128,26 @@
     });
   });
 
+  describe('when a key gets many times the requests that its owner serves', () => {
+    it('gives it to the fastest server within two seconds, once, and to no two servers', async () => {
+      await withKeyAssignerRig(SERVER_IDS, async (rig) => {
+        await rig.advance(5_000);
+        const key = rig.assigner.leases.find(({ range }) => range.ownerId === 'server-1')?.range.from ?? 0;
+        rig.register('server-3', 'ready', 40);
+        rig.traffic = { sortedKeys: Array.from({ length: 200 }, () => key), seconds: 1 };
+        await rig.advance(2_000);
+        const owner = (): string | undefined =>
+          rig.assigner.leases.find(({ range }) => range.from <= key && key <= range.to)?.range.ownerId;
+        assert.is(owner(), 'server-3', rig.trace.join('\n'));
+        rig.register('server-4', 'ready', 80);
+        await rig.advance(3_000);
+        assert.is(owner(), 'server-3');
+        assert.is(rig.trace.filter((line) => line.includes(' hot-key-moved ')).length, 1);
+        assert.equal(rig.violations, []);
+      });
+    });
+  });
+
   describe('under random orders of renewals and of delayed and retried writes', () => {
     it('gives no key two holders', async () => {
       await fc.assert(
--- a/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
+++ b/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
@@ -2,9 +2,11 @@
 import type { SlotRequest } from '@hickoryhoist/dispatch/common/slotRequest.js';
 import { type SlotDecision, SlotScheduler } from '@hickoryhoist/dispatch/common/slotScheduler.js';
 import { estimateProcessingTimes } from '@hickoryhoist/dispatch/common/processingTimes.js';
+import { HotKeyMoves } from '@hickoryhoist/keyownership/common/hotKeyMoves.js';
 import { LAST_KEY, type OwnedRange, findRange } from '@hickoryhoist/keyownership/common/keyAssignment.js';
 import {
   type CandidateServer,
+  type PlannedMove,
   planUnownedKeys,
   planMoves,
 } from '@hickoryhoist/keyownership/common/keyPlanner.js';
@@ -35,8 +37,24 @@
   readonly hotRanges: readonly HotKeyRange[];
   /** Maximum number of moves planned per balancing step. */
   readonly maxMoves: number;
+  readonly rules: HotKeyRules;
 }
 
+/** What is done about keys that get more requests than their owners serve. */
+export interface HotKeyRules {
+  /** Whether they are moved to faster servers. */
+  readonly movesHotKeys: boolean;
+  /** Whether the scheduler is told the keys, so that others of the same server do not wait behind them. */
+  readonly sharesByKey: boolean;
+}
+
+export const hotKeyRules = {
+  'as any other key': { movesHotKeys: false, sharesByKey: false },
+  'moved to a faster server': { movesHotKeys: true, sharesByKey: false },
+  'fair shares between keys': { movesHotKeys: false, sharesByKey: true },
+  both: { movesHotKeys: true, sharesByKey: true },
+} as const satisfies Readonly<Record<string, HotKeyRules>>;
+
 const baseOptions: KeyBalanceOptions = {
   seed: 1,
   servers: 67,
@@ -48,10 +66,19 @@
   durationMilliseconds: 33_000,
   hotRanges: [{ fromMilliseconds: 0, toMilliseconds: 40_000, share: 0.2, firstKey: 24_000, keyCount: 2_000 }],
   maxMoves: 24,
+  rules: hotKeyRules.both,
 };
 const HOT_RANGE_MILLISECONDS = 5_000;
 const HOT_RANGE_INDEXES = [0, 1, 2, 3, 4, 5, 6];
 
+/** One key with most of its service's requests for 5 s, twice. */
+function singleHotKeys(share: number): readonly HotKeyRange[] {
+  return [
+    { fromMilliseconds: 6_000, toMilliseconds: 11_000, share, firstKey: 9_000, keyCount: 1 },
+    { fromMilliseconds: 14_000, toMilliseconds: 19_000, share, firstKey: 42_000, keyCount: 1 },
+  ];
+}
+
 /** Load patterns with one hot key range that receives a fifth of the requests, or with a hot range that moves. */
 export const keyLoadPatterns = {
   'steady, 60 % load': baseOptions,
@@ -76,11 +103,47 @@
   },
 } as const satisfies Readonly<Record<string, KeyBalanceOptions>>;
 
+/** Load patterns with a single key that gets much of the traffic of its service. */
+export const hotKeyLoadPatterns = {
+  'one hot key, 21 servers': {
+    ...baseOptions,
+    servers: 21,
+    slots: 4,
+    workMilliseconds: 75,
+    requestsPerSecond: 500,
+    goalMilliseconds: 250,
+    deadlineMilliseconds: 1_000,
+    durationMilliseconds: 22_000,
+    hotRanges: singleHotKeys(0.3),
+  },
+  'one hot key, 104 servers': {
+    ...baseOptions,
+    servers: 104,
+    slots: 6,
+    workMilliseconds: 235,
+    requestsPerSecond: 1_150,
+    goalMilliseconds: 850,
+    deadlineMilliseconds: 3_300,
+    durationMilliseconds: 22_000,
+    hotRanges: singleHotKeys(0.2),
+  },
+} as const satisfies Readonly<Record<string, KeyBalanceOptions>>;
+
+/** Numbers of requests by outcome. */
+export interface KeyOutcomes {
+  readonly offered: number;
+  readonly inTime: number;
+  readonly refused: number;
+}
+
 /** Result of one run. Outcomes are fractions of the offered requests; retries don't count as further requests. */
 export interface KeyBalanceResult {
   readonly inTime: number;
   readonly late: number;
   readonly refused: number;
+  /** Of the requests that were offered while keys were hot: those for hot keys, and those for other keys of their owners. */
+  readonly hot: KeyOutcomes;
+  readonly neighbours: KeyOutcomes;
   readonly movesPerSecond: number;
   /** Mean number of ranges per server at the end. */
   readonly rangesPerServer: number;
@@ -104,6 +167,8 @@
   /** Processing time at a server of speed 1, in milliseconds. */
   readonly work: number;
   isRetry: boolean;
+  /** Undefined if it is for a key that has no hot key beside it. */
+  readonly part: 'hot' | 'neighbour' | undefined;
 }
 
 interface KeyedServerState {
@@ -128,6 +193,11 @@
   #now = 0;
   #slotRequestCount = 0;
   #moveCount = 0;
+  readonly #hotKeyMoves = new HotKeyMoves();
+  readonly #parts = {
+    hot: { offered: 0, inTime: 0, late: 0, refused: 0 },
+    neighbour: { offered: 0, inTime: 0, late: 0, refused: 0 },
+  };
   readonly #tally = { offered: 0, inTime: 0, late: 0, refused: 0 };
 
   constructor(options: KeyBalanceOptions) {
@@ -181,6 +251,8 @@
       inTime: inTime / offered,
       late: late / offered,
       refused: refused / offered,
+      hot: this.#parts.hot,
+      neighbours: this.#parts.neighbour,
       rangesPerServer: this.#ranges.length / servers,
       movesPerSecond: (this.#moveCount * 1_000) / durationMilliseconds,
     };
@@ -200,7 +272,8 @@
   #scheduleNextRequest(): void {
     this.#schedule(this.#now + this.#random.exponential(1_000 / this.#options.requestsPerSecond), () => {
       const work = this.#options.workMilliseconds * this.#drawLogNormal();
-      this.#requestSlot({ key: this.#drawKey(), offeredAt: this.#now, work, isRetry: false });
+      const key = this.#drawKey();
+      this.#requestSlot({ key, offeredAt: this.#now, work, isRetry: false, part: this.#partOf(key) });
       this.#scheduleNextRequest();
     });
   }
@@ -214,6 +287,19 @@
     return this.#random.integer(0, LAST_KEY);
   }
 
+  #partOf(key: number): OfferedRequest['part'] {
+    const hot = this.#options.hotRanges.filter(
+      ({ fromMilliseconds, toMilliseconds }) => this.#now >= fromMilliseconds && this.#now < toMilliseconds,
+    );
+    if (hot.some(({ firstKey, keyCount }) => key >= firstKey && key < firstKey + keyCount)) {
+      return 'hot';
+    }
+    const owner = findRange(this.#ranges, key)?.ownerId;
+    return hot.some(({ firstKey }) => findRange(this.#ranges, firstKey)?.ownerId === owner)
+      ? 'neighbour'
+      : undefined;
+  }
+
   /** Draws from a log-normal distribution with mean 1. */
   #drawLogNormal(): number {
     const radius = Math.sqrt(-2 * Math.log(1 - this.#random.fraction()));
@@ -237,6 +323,7 @@
     const slotRequest: SlotRequest = {
       id,
       serverId: range.ownerId,
+      key: this.#options.rules.sharesByKey ? request.key : undefined,
       excludedIds: [],
       availabilityZone: 'zone-1',
       rank: 1,
@@ -299,32 +386,46 @@
 
   #recordOutcome(request: OfferedRequest, outcome: 'inTime' | 'late' | 'refused'): void {
     if (request.offeredAt >= WARM_UP_MILLISECONDS) {
-      this.#tally.offered += 1;
-      this.#tally[outcome] += 1;
+      const part = request.part === undefined ? undefined : this.#parts[request.part];
+      for (const tally of part === undefined ? [this.#tally] : [this.#tally, part]) {
+        tally.offered += 1;
+        tally[outcome] += 1;
+      }
     }
   }
 
   #candidateServers(): readonly CandidateServer[] {
     const ids = [...this.#servers.keys()];
     const processingTimes = estimateProcessingTimes(ids, this.#scheduler.processingTimes(this.#now));
-    return ids.map((id) => ({
-      id,
-      incarnation: 1,
-      address: id,
-      requestsPerSecond:
-        (this.#options.slots * 1_000) / (processingTimes.get(id) ?? this.#options.workMilliseconds),
-    }));
+    return ids.map((id) => {
+      const processingMilliseconds = processingTimes.get(id) ?? this.#options.workMilliseconds;
+      return {
+        id,
+        incarnation: 1,
+        address: id,
+        requestsPerSecond: (this.#options.slots * 1_000) / processingMilliseconds,
+        processingMilliseconds,
+      };
+    });
   }
 
   #balance(): void {
-    const stableRanges = this.#ranges.filter((range) => !this.#transferEndTimes.has(range));
+    const servers = this.#candidateServers();
     const traffic = this.#trafficWindow.traffic(this.#now);
-    for (const { range, from, to, newOwnerId } of planMoves(
-      stableRanges,
-      this.#candidateServers(),
-      traffic,
-      this.#options.maxMoves,
-    )) {
+    const newest = this.#trafficWindow.newestTraffic(this.#now);
+    const isStable = (range: OwnedRange): boolean => !this.#transferEndTimes.has(range);
+    if (this.#options.rules.movesHotKeys) {
+      const ranges = this.#ranges.filter(isStable);
+      for (const move of this.#hotKeyMoves.nextMoves(this.#now, ranges, servers, traffic, newest)) {
+        this.#hotKeyMoves.recordStart(move);
+        this.#startMoves([move]);
+      }
+    }
+    this.#startMoves(planMoves(this.#ranges.filter(isStable), servers, traffic, this.#options.maxMoves));
+  }
+
+  #startMoves(moves: readonly PlannedMove[]): void {
+    for (const { range, from, to, newOwnerId } of moves) {
       if (!this.#ranges.includes(range)) {
         continue;
       }
