Send the end of an attempt twice if the server states a rate

What could happen: the end of an attempt was sent once, since its coordinator asks about a slot that looks taken for long. What the server stated is not repeated then. A lost first statement of a rate would leave the coordinator, through which all requests for the server pass, without it until the next one.

The test fails with a single message (1 instead of 2).

--- a/packages/entryVm/src/common/coordinatedSlots.ts
+++ b/packages/entryVm/src/common/coordinatedSlots.ts
@@ -377,7 +377,11 @@
     }
     this.#inUse.delete(id);
     // If the coordinator misses this message, the slot stays in use until it checks, or else until the request's deadline.
-    const isChecked = outcome === 'answered' && this.#addressesOfCheckers().has(coordinator.ipAddress);
+    // A check does not repeat a rate that the server states, and which holds for all entry VMs.
+    const isChecked =
+      outcome === 'answered' &&
+      statements?.requestsPerSecond === undefined &&
+      this.#addressesOfCheckers().has(coordinator.ipAddress);
     (isChecked ? send : sendWithDuplicate)(coordinator.ipAddress, {
       type: 'finish',
       id,
--- a/packages/entryVm/src/common/test/coordinatedSlots.test.ts
+++ b/packages/entryVm/src/common/test/coordinatedSlots.test.ts
@@ -391,6 +391,26 @@
       }));
   });
 
+  it('sends the end of an attempt twice if the server states a rate, which a check would not repeat', () =>
+    withRig(2, async (rig) => {
+      for (const vm of rig.vms.keys()) {
+        const seen = collectResults([rig.acquire(vm, { serverId: 'server-1' })]);
+        await rig.clock.tickAsync(100);
+        assert.is(seen.granted.length, 1);
+        const [result] = seen.granted;
+        if (result?.kind === 'granted') {
+          result.slot.finish('answered', {
+            isLeaving: false,
+            pauseMilliseconds: undefined,
+            requestsPerSecond: 2,
+            unreadable: [],
+          });
+        }
+        await rig.clock.tickAsync(1_000);
+      }
+      assert.is(rig.sent.get('finish'), 2, 'one of the two is the coordinator itself');
+    }));
+
   it('needs three messages for a request that waits for nothing and ends within a second', () =>
     withRig(3, async (rig) => {
       for (const requester of rig.vms.keys()) {
