--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -1,3 +1,4 @@
+import { compareText } from '@hickoryhoist/base/common/compareText.js';
 import * as z from 'zod';
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
@@ -137,7 +138,7 @@
       this.#storedSelf !== undefined && this.#storedSelf.incarnation !== this.#self.incarnation;
     const others = records.filter(({ id }) => id !== this.#self.id);
     this.#records = [...others, ...(this.#isLeaving ? [] : [this.#self])].sort((left, right) =>
-      left.id.localeCompare(right.id),
+      compareText(left.id, right.id),
     );
     this.#otherAddresses = others.map(({ ipAddress }) => ipAddress);
     this.#zoneByAddress = new Map(
--- a/packages/entryVm/src/common/rendezvous.ts
+++ b/packages/entryVm/src/common/rendezvous.ts
@@ -1,3 +1,5 @@
+import { compareText } from '@hickoryhoist/base/common/compareText.js';
+
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
@@ -32,6 +34,6 @@
       const uniform = (hash(`${id}\n${resource}`) + HALF_STEP) / HASH_VALUE_COUNT;
       return { id, score: -weight / Math.log(uniform) };
     })
-    .sort((left, right) => right.score - left.score || left.id.localeCompare(right.id))
+    .sort((left, right) => right.score - left.score || compareText(left.id, right.id))
     .map(({ id }) => id);
 }
--- a/packages/entryVm/src/common/successionOrder.ts
+++ b/packages/entryVm/src/common/successionOrder.ts
@@ -1,3 +1,4 @@
+import { compareText } from '@hickoryhoist/base/common/compareText.js';
 import { broadcastCapacity, type EntryVmRecord } from './entryVmRegistry.js';
 
 /** Ranks by identifier for each list of entry VMs; a list never changes, it is replaced by another one. */
@@ -12,7 +13,7 @@
   let ranks = ranksByList.get(entryVms);
   if (ranks === undefined) {
     const sorted = [...entryVms].sort(
-      (left, right) => broadcastCapacity(right) - broadcastCapacity(left) || left.id.localeCompare(right.id),
+      (left, right) => broadcastCapacity(right) - broadcastCapacity(left) || compareText(left.id, right.id),
     );
     ranks = new Map(sorted.map((entryVm, rank) => [entryVm.id, rank]));
     ranksByList.set(entryVms, ranks);
