Estimate callers' waits and count headers without copies

For each request the estimator of callers' waits copied and sorted the last 64 timeouts of the route and passed them all to `Math.max`, and the account of bytes made arrays of the headers of request and response. The timeouts are now kept in order, in which each request moves one of them, and the headers are walked once.

New tests: a property that the estimates equal those from all the last 64 timeouts, and one of the bytes counted for headers with several values or none. Both pass on the previous code as well.

--- a/packages/entryVm/src/common/callerWaitEstimator.ts
+++ b/packages/entryVm/src/common/callerWaitEstimator.ts
@@ -8,14 +8,56 @@
  */
 const MAX_SPREAD = 0.25;
 
+/** The last timeouts of a route. */
+class RecentTimeouts {
+  readonly #inOrder: number[] = [];
+  readonly #sorted: number[] = [];
+
+  get count(): number {
+    return this.#sorted.length;
+  }
+
+  get longest(): number {
+    return this.#sorted.at(-1) ?? 0;
+  }
+
+  get median(): number {
+    return this.#sorted[this.#sorted.length >> 1] ?? 0;
+  }
+
+  add(timeoutMilliseconds: number): void {
+    if (this.#inOrder.length >= SAMPLES) {
+      const oldest = this.#inOrder.shift() ?? 0;
+      this.#sorted.splice(this.#indexOf(oldest), 1);
+    }
+    this.#inOrder.push(timeoutMilliseconds);
+    this.#sorted.splice(this.#indexOf(timeoutMilliseconds), 0, timeoutMilliseconds);
+  }
+
+  /** Index of the first timeout that is not shorter. */
+  #indexOf(timeoutMilliseconds: number): number {
+    let from = 0;
+    let to = this.#sorted.length;
+    while (from < to) {
+      const middle = (from + to) >> 1;
+      if ((this.#sorted[middle] ?? 0) < timeoutMilliseconds) {
+        from = middle + 1;
+      } else {
+        to = middle;
+      }
+    }
+    return from;
+  }
+}
+
 /**
  * Estimates how long a caller has waited before it sent this attempt. A caller that was refused returns with what is
  * left of its timeout, and its latency goal counts from its first attempt. Load pattern: refused callers return among
- * new ones, whose timeouts are similar but not equal. New callers must not be taken for returning ones, since they
+ * new ones, whose timeouts are similar but not equal; each request moves one timeout within a sorted list. New callers must not be taken for returning ones, since they
  * would be refused although they can still be served within their goal.
  */
 export class CallerWaitEstimator {
-  readonly #timeoutsByRoute = new Map<string, number[]>();
+  readonly #timeoutsByRoute = new Map<string, RecentTimeouts>();
 
   /**
    * Records a request.
@@ -23,14 +65,14 @@
    * @returns the estimated time since the caller's first attempt, in milliseconds; 0 for a first attempt.
    */
   record(route: string, timeoutMilliseconds: number): number {
-    const timeouts = this.#timeoutsByRoute.get(route) ?? [];
-    this.#timeoutsByRoute.set(route, timeouts);
-    timeouts.push(timeoutMilliseconds);
-    if (timeouts.length > SAMPLES) {
-      timeouts.shift();
+    let timeouts = this.#timeoutsByRoute.get(route);
+    if (timeouts === undefined) {
+      timeouts = new RecentTimeouts();
+      this.#timeoutsByRoute.set(route, timeouts);
     }
-    const longest = Math.max(...timeouts);
-    const shortestFirst = longest - spreadOfFirstAttempts(timeouts, longest);
+    timeouts.add(timeoutMilliseconds);
+    const { longest } = timeouts;
+    const shortestFirst = longest - spreadOfFirstAttempts(timeouts);
     const expectedFirst = (shortestFirst + longest) / 2;
     return timeoutMilliseconds >= shortestFirst ? 0 : expectedFirst - timeoutMilliseconds;
   }
@@ -40,10 +82,9 @@
  * The timeouts of first attempts lie evenly below the longest one, so half of them are within half of their spread.
  * Returning callers have shorter timeouts and make the spread appear larger, up to its maximum.
  */
-function spreadOfFirstAttempts(timeouts: readonly number[], longest: number): number {
-  if (timeouts.length < MIN_SAMPLES) {
+function spreadOfFirstAttempts({ count, longest, median }: RecentTimeouts): number {
+  if (count < MIN_SAMPLES) {
     return MAX_SPREAD * longest;
   }
-  const median = [...timeouts].sort((left, right) => left - right)[timeouts.length >> 1] ?? longest;
   return Math.min(2 * (longest - median), MAX_SPREAD * longest);
 }
--- a/packages/entryVm/src/common/countedServerTransport.ts
+++ b/packages/entryVm/src/common/countedServerTransport.ts
@@ -88,10 +88,14 @@
 
 function bytesOf(headers: ServerCall['headers'] | ResponseHeaders): number {
   let bytes = 0;
-  for (const [name, value] of Object.entries(headers)) {
-    const values = value === undefined ? [] : [value].flat();
-    for (const text of values) {
-      bytes += name.length + text.length + HEADER_SEPARATOR_BYTES;
+  for (const name of Object.keys(headers)) {
+    const value = headers[name];
+    if (typeof value === 'string') {
+      bytes += name.length + value.length + HEADER_SEPARATOR_BYTES;
+    } else if (value !== undefined) {
+      for (const text of value) {
+        bytes += name.length + text.length + HEADER_SEPARATOR_BYTES;
+      }
     }
   }
   return bytes;
--- a/packages/entryVm/src/common/test/byteAccount.test.ts
+++ b/packages/entryVm/src/common/test/byteAccount.test.ts
@@ -60,4 +60,22 @@
       assert.equal(counted, expected);
     }
   });
+
+  it('count each value of a header with its name, and no header without a value', async () => {
+    const requestBytes = async (headers: ServerCall['headers']): Promise<number> => {
+      const account = new ByteAccount('zone-1');
+      const result: ServerCallResult = { kind: 'lost', reason: 'deadline' };
+      const transport = new CountedServerTransport(
+        { call: () => Promise.resolve(result) },
+        account,
+        () => undefined,
+      );
+      await transport.call({ ...call('near'), headers });
+      return account.totals()[0]?.bytes ?? 0;
+    };
+    const without = await requestBytes({});
+    assert.is(await requestBytes({ accept: undefined }), without);
+    assert.is(await requestBytes({ accept: 'text' }), without + 14);
+    assert.is(await requestBytes({ accept: ['text', 'json'], te: '' }), without + 28 + 6);
+  });
 });
--- a/packages/entryVm/src/common/test/callerWaitEstimator.test.ts
+++ b/packages/entryVm/src/common/test/callerWaitEstimator.test.ts
@@ -1,3 +1,4 @@
+import * as fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import { type SchedulableServer, SlotScheduler } from '@hickoryhoist/dispatch/common/slotScheduler.js';
@@ -14,6 +15,15 @@
   return TIMEOUT_MILLISECONDS * (1 - SPREAD * random.fraction());
 }
 
+/** The estimated wait of the last one of some timeouts. */
+function waitAmong(timeouts: readonly number[]): number {
+  const longest = Math.max(...timeouts);
+  const median = [...timeouts].sort((left, right) => left - right)[timeouts.length >> 1] ?? 0;
+  const spread = Math.min(timeouts.length < 8 ? longest : 2 * (longest - median), longest / 4);
+  const last = timeouts.at(-1) ?? 0;
+  return last >= longest - spread ? 0 : longest - spread / 2 - last;
+}
+
 describe('CallerWaitEstimator', () => {
   it('takes nearly all first attempts for first attempts, although their timeouts differ', () => {
     const estimator = new CallerWaitEstimator();
@@ -49,6 +59,24 @@
     assert.ok(estimator.record(ROUTE, 1_000) > 2_000);
   });
 
+  it('estimates the same as from all the last 64 timeouts', () => {
+    const timeouts = fc.array(
+      fc.oneof(fc.integer({ min: 1, max: 20 }), fc.integer({ min: 1, max: 30_000 })),
+      {
+        maxLength: 200,
+      },
+    );
+    fc.assert(
+      fc.property(timeouts, (all) => {
+        const estimator = new CallerWaitEstimator();
+        all.forEach((timeout, index) => {
+          assert.is(estimator.record(ROUTE, timeout), waitAmong(all.slice(0, index + 1).slice(-64)));
+        });
+      }),
+      { numRuns: 200, seed: 1 },
+    );
+  });
+
   it('keeps routes apart', () => {
     const estimator = new CallerWaitEstimator();
     estimator.record(ROUTE, TIMEOUT_MILLISECONDS);
