Let one of the two readers wait for changes

Cause: both readers waited for changes of all tables at the same time, so each change ended two waits, although the one that reads it relays it.

Now the other reader does not wait while the preferred one is current. It reads each confirmed table at its turn, halfway between two confirmations of the preferred reader, later while changes let that one confirm more often, and after 1.2 s at most, so that all see that it reaches the store. Changes reach it as they reach all others: by relay, and by the versions in heartbeats. Once the preferred reader has not confirmed for 1.25 s it waits as before. Bounds that rest on a turn stay: a copy is confirmed each 500 ms by one of them.

Ruled out: longer pauses after changes, which delay servers that leave.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -162,8 +162,13 @@
   }
 
   /** Duration of the next wait for changes of a table whose changes must be known in time, in milliseconds. */
-  confirmationWaitMilliseconds(followsChange: boolean): number {
-    return this.#readers.confirmationWaitMilliseconds(followsChange, performance.now());
+  confirmationWaitMilliseconds(): number {
+    return this.#readers.confirmationWaitMilliseconds(performance.now());
+  }
+
+  /** Time for which a call about a table is not due, in milliseconds, because another reader waits for its changes. */
+  deferralMilliseconds(table: string): number {
+    return this.#readers.deferralMilliseconds(table, performance.now());
   }
 
   /** Whether the owners of all keyed services are known, and the tables have been as new as those of the readers once. */
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -25,6 +25,10 @@
 /** Age of a reader's own confirmations from which on another entry VM takes its place: its longest wait, and as above. */
 const MAX_READER_AGE_MILLISECONDS =
   MIN_WAIT_MILLISECONDS + WAIT_PERIOD_MILLISECONDS + HEARTBEAT_INTERVAL_MILLISECONDS + 150;
+/** Age of the newest confirmation of the preferred reader from which on the other one waits for changes itself. */
+const MAX_PREFERRED_AGE_MILLISECONDS = WAIT_PERIOD_MILLISECONDS + MIN_WAIT_MILLISECONDS;
+/** Maximum time between two confirmations of a reader that confirms in turns; the others see that it reaches the store. */
+const MAX_DEFERRAL_MILLISECONDS = WAIT_PERIOD_MILLISECONDS + HEARTBEAT_INTERVAL_MILLISECONDS;
 /** Time without a heartbeat after which a reader counts as stopped: three heartbeats. */
 const READER_TIMEOUT_MILLISECONDS = 600;
 /** Delay between the entry VMs of consecutive ranks that may take the place of a reader. */
@@ -131,29 +135,37 @@
   }
 
   /**
-   * Duration of a wait for changes of a confirmed table, in milliseconds. The preferred reader keeps a steady period, and
-   * the other one waits until the middle between two of its confirmations; a reader without another confirms alone.
-   * @param followsChange whether the last call returned a change, and so confirmed the copies of all readers.
+   * Duration of a wait for changes of a confirmed table, in milliseconds. The preferred reader keeps a steady period; the
+   * other one reads at its turn without waiting, since changes are relayed to it; a reader without another confirms alone.
    */
-  confirmationWaitMilliseconds(followsChange: boolean, now: number): number {
-    const current = [...this.#confirmations].filter(
-      ([, confirmedAt]) => now - confirmedAt < MAX_READER_AGE_MILLISECONDS,
-    );
-    if (current.length === 0) {
-      return CONFIRMATION_INTERVAL_MILLISECONDS;
+  confirmationWaitMilliseconds(now: number): number {
+    if (this.#preferredConfirmation(now) !== undefined) {
+      return 0;
     }
-    const preferred = current.filter(([id]) => this.#yieldsTo(id)).map(([, confirmedAt]) => confirmedAt);
-    if (preferred.length === 0) {
-      return WAIT_PERIOD_MILLISECONDS;
+    const hasOther = [...this.#confirmations].some(
+      ([id, confirmedAt]) => !this.#yieldsTo(id) && now - confirmedAt < MAX_READER_AGE_MILLISECONDS,
+    );
+    return hasOther ? WAIT_PERIOD_MILLISECONDS : CONFIRMATION_INTERVAL_MILLISECONDS;
+  }
+
+  /**
+   * Time for which a call about a table is not due, in milliseconds, because the preferred reader waits for its changes.
+   * The other reader confirms its copies in the middle between two confirmations of the preferred one, and later while
+   * changes let that one confirm more often.
+   */
+  deferralMilliseconds(name: string, now: number): number {
+    const preferredAt = this.#preferredConfirmation(now);
+    const table = this.#options.tables.get(name);
+    if (preferredAt === undefined || table === undefined) {
+      return 0;
     }
-    if (followsChange) {
-      return CONFIRMATION_INTERVAL_MILLISECONDS;
+    if (!this.#options.isConfirmed(name)) {
+      return HEARTBEAT_INTERVAL_MILLISECONDS;
     }
-    const turnAt = Math.max(...preferred) + CONFIRMATION_INTERVAL_MILLISECONDS;
-    const untilTurn = (turnAt - now - MIN_WAIT_MILLISECONDS) % WAIT_PERIOD_MILLISECONDS;
-    return Math.round(
-      MIN_WAIT_MILLISECONDS + ((untilTurn + WAIT_PERIOD_MILLISECONDS) % WAIT_PERIOD_MILLISECONDS),
-    );
+    const hasHadTurn = table.confirmedAt > preferredAt + MIN_WAIT_MILLISECONDS;
+    const turnAt =
+      preferredAt + (hasHadTurn ? MAX_PREFERRED_AGE_MILLISECONDS : CONFIRMATION_INTERVAL_MILLISECONDS);
+    return Math.max(0, Math.min(turnAt, table.confirmedAt + MAX_DEFERRAL_MILLISECONDS) - now);
   }
 
   /** Time for which a live reader has reached the store without an outage; 0 if there is no live reader. */
@@ -311,6 +323,14 @@
     return this.#options.selfId !== this.#lastAssignerId && this.#isPreferred(readerId);
   }
 
+  /** When the readers to which this process yields were last known to be current; undefined if none of them is. */
+  #preferredConfirmation(now: number): number | undefined {
+    const newest = Math.max(
+      ...[...this.#confirmations].flatMap(([id, confirmedAt]) => (this.#yieldsTo(id) ? [confirmedAt] : [])),
+    );
+    return now - newest < MAX_PREFERRED_AGE_MILLISECONDS ? newest : undefined;
+  }
+
   #recordConfirmation(readerId: string, confirmedAt: number): void {
     const known = this.#confirmations.get(readerId) ?? Number.NEGATIVE_INFINITY;
     this.#confirmations.set(readerId, Math.max(known, confirmedAt));
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -143,10 +143,11 @@
           store,
           {
             table,
-            waitMilliseconds: (followsChange) =>
+            waitMilliseconds: () =>
               table === CONTROL_TABLE
                 ? CONTROL_WAIT_MILLISECONDS
-                : this.#keyOwnership.confirmationWaitMilliseconds(followsChange),
+                : this.#keyOwnership.confirmationWaitMilliseconds(),
+            deferralMilliseconds: () => this.#keyOwnership.deferralMilliseconds(table),
             pauseMilliseconds,
             ...options,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -20,11 +20,13 @@
 /** Which table to watch, and how often to read its feed. */
 export interface TableWatcherOptions {
   readonly table: string;
+  /** Maximum time that the next call waits for changes, in milliseconds. */
+  readonly waitMilliseconds: () => number;
   /**
-   * Maximum time that the next call waits for changes, in milliseconds.
-   * @param followsChange whether the last call returned a change, as it did for all processes that waited for one.
+   * Time for which the next call is not due, in milliseconds, because another process reads the feed and relays it. Asked
+   * again when it has passed.
    */
-  readonly waitMilliseconds: (followsChange: boolean) => number;
+  readonly deferralMilliseconds?: () => number;
   /** Delay after a change before the next call, so that one call returns several quick changes; in milliseconds. */
   readonly pauseMilliseconds: number;
   /**
@@ -123,8 +125,6 @@
   #behindSince: number | undefined;
   #lastSource: CopySource | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
-  /** Whether the last response of the feed contained a change. */
-  #followsChange = false;
   /** Duration of the next wait after an idle pause, in milliseconds. */
   #remainingWait: number | undefined;
 
@@ -251,7 +251,7 @@
       this.#isPollDue ||=
         source === 'feed' &&
         this.version !== undefined &&
-        performance.now() - this.#confirmedAt > this.#options.waitMilliseconds(false);
+        performance.now() - this.#confirmedAt > this.#options.waitMilliseconds();
       this.#wakeUp();
     }
   }
@@ -323,7 +323,8 @@
   }
 
   async #advance(): Promise<void> {
-    const { table, waitMilliseconds, pauseMilliseconds, firstCopySource } = this.#options;
+    const { table, waitMilliseconds, deferralMilliseconds, pauseMilliseconds, firstCopySource } =
+      this.#options;
     if (this.#isReloadDue) {
       await this.#reloadTable();
       return;
@@ -344,7 +345,12 @@
       });
       return;
     }
-    const wait = this.#isPollDue ? 0 : (this.#remainingWait ?? waitMilliseconds(this.#followsChange));
+    const deferral = this.#isPollDue ? 0 : (deferralMilliseconds?.() ?? 0);
+    if (deferral > 0) {
+      await this.#pause(deferral);
+      return;
+    }
+    const wait = this.#isPollDue ? 0 : (this.#remainingWait ?? waitMilliseconds());
     this.#isPollDue = false;
     this.#remainingWait = undefined;
     const after = this.version;
@@ -369,7 +375,6 @@
         this.#isFeedContinuous = true;
         const unchangedSince = Math.min(this.#unchangedSince, after);
         const isChanged = this.#apply(changes, 'feed');
-        this.#followsChange = isChanged;
         if (isChanged) {
           this.#onDidReadFeed.fire({
             table,
@@ -430,7 +435,7 @@
    */
   async #pauseIdle(): Promise<void> {
     const { waitMilliseconds, pauseMilliseconds, idlePauseMilliseconds = pauseMilliseconds } = this.#options;
-    const wait = waitMilliseconds(false);
+    const wait = waitMilliseconds();
     const pause = Math.min(wait, idlePauseMilliseconds);
     await this.#pause(pause);
     this.#remainingWait = wait - pause;
