Confirm copies by the version that any response of the store states

Cause: only a response about a table confirmed its copy. But each response states the newest version of the store, and versions count the transactions of all tables one by one. If a copy is complete up to version 53, and a response about another table states 55, the copy is as new as that response once the transactions 54 and 55 are known to be of other tables: rows that were read or relayed, writes of this process, assignments and lease confirmations that the assigner sent.

Now the table of servers leads. Its responses confirm the configuration as well, whose own waits last 5 s. A transaction that is not known breaks the sequence: then the configuration is read 150 ms after the response, over another connection, and each table is confirmed by itself for 5 s. So a change that a dead wait hides is found as early as before, with the next response about the servers. A message that is lost costs a call and hides nothing. Servers and operator write one table each, and the entry VMs may write to neither.

Evidence: the test of calls at rest failed before (93 calls in 20 s, at most 70) and passes; a change of a table whose waits hang is known to all within a second at each of four moments; the property test of silent stores now changes one of two tables and runs twice as often.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -1,7 +1,11 @@
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { ProcessingTimeEstimate } from '@hickoryhoist/dispatch/common/processingTimes.js';
-import { AssignerElection, type HeldTerm } from '@hickoryhoist/keyownership/common/assignerElection.js';
+import {
+  AssignerElection,
+  CONFIRMATION_TABLE,
+  type HeldTerm,
+} from '@hickoryhoist/keyownership/common/assignerElection.js';
 import {
   ASSIGNER_ROW_KEY,
   CONTROL_TABLE,
@@ -16,7 +20,8 @@
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { paceFailedWrites } from '@hickoryhoist/store/common/pacedWrites.js';
-import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
+import { recordTransactions } from '@hickoryhoist/store/common/recordedRowStore.js';
+import type { RowStore, RowTransaction } from '@hickoryhoist/store/common/rowStore.js';
 import type { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import type { AssignableServers } from './assignableServers.js';
@@ -79,6 +84,8 @@
   readonly #processingTimes = new Map<string, ProcessingTimeEstimate>();
   /** When the assigner began to monitor each entry VM, by ID. */
   readonly #monitoredSince = new Map<string, number>();
+  /** Version of the last confirmation of the assigner lease by this process. */
+  #lastConfirmationVersion = 0;
   #recentKeys: Record<string, number[]> = {};
   /** Value of the control table's `fullReadCount` from which on this process may assign keys. */
   #requiredFullReadCount = 0;
@@ -98,7 +105,10 @@
   constructor(options: KeyOwnershipControllerOptions) {
     super();
     this.#options = options;
-    const { self, store, logger, controlRows, health, entryVmRegistry } = options;
+    const { self, logger, controlRows, health, entryVmRegistry } = options;
+    const store = recordTransactions(options.store, (transaction, version) => {
+      this.#recordTransaction(transaction, version);
+    });
     this.owners = new KeyOwners((attempt) => {
       if (attempt < NEIGHBOUR_ATTEMPTS || !health.isReachable) {
         controlRows.readMissing(attempt);
@@ -162,8 +172,8 @@
   }
 
   /** Duration of the next wait for changes of a table whose changes must be known in time, in milliseconds. */
-  confirmationWaitMilliseconds(): number {
-    return this.#readers.confirmationWaitMilliseconds(performance.now());
+  confirmationWaitMilliseconds(table: string): number {
+    return this.#readers.confirmationWaitMilliseconds(table, performance.now());
   }
 
   /** Time for which a call about a table is not due, in milliseconds, because another reader waits for its changes. */
@@ -213,6 +223,7 @@
     switch (message.type) {
       case 'assignment-change': {
         const { service, rowVersion, change } = message;
+        this.#readers.recordTransaction(rowVersion);
         this.owners.applyDelta(service, change, rowVersion);
         return;
       }
@@ -227,6 +238,7 @@
           address: this.#options.entryVmRegistry.ipAddressOf(message.id),
         };
         this.#lastHeartbeatSentAt = message.sentAt;
+        this.#readers.recordTransaction(message.versions[CONFIRMATION_TABLE] ?? 0);
         this.#readers.expectVersions(message.versions);
         this.owners.expectRevisions(message.assignments);
         this.#lastHeartbeatAt = performance.now();
@@ -390,6 +402,13 @@
     }
   }
 
+  #recordTransaction({ puts }: RowTransaction, version: number): void {
+    this.#readers.recordTransaction(version);
+    if (puts.some(({ table }) => table === CONFIRMATION_TABLE)) {
+      this.#lastConfirmationVersion = version;
+    }
+  }
+
   /** Tells this process and the others, who do not wait for the feed. */
   #sendDelta(service: string, delta: KeyAssignmentDelta, rowVersion: number): void {
     const change = encodeDelta(delta);
@@ -406,7 +425,7 @@
       term,
       id: self.id,
       storeSilence: Math.round(health.silenceMilliseconds()),
-      versions: this.#readers.versions(),
+      versions: { ...this.#readers.versions(), [CONFIRMATION_TABLE]: this.#lastConfirmationVersion },
       assignments: this.owners.revisions(),
       sentAt: this.#election.clockNow(),
     });
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import { KnownTransactions } from '@hickoryhoist/store/common/knownTransactions.js';
 import type { FeedChanges, TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import { toChangeMessages } from './changeMessages.js';
 import type { EntryVmRecord } from './entryVmRegistry.js';
@@ -29,6 +30,12 @@
 const MAX_PREFERRED_AGE_MILLISECONDS = WAIT_PERIOD_MILLISECONDS + MIN_WAIT_MILLISECONDS;
 /** Maximum time between two confirmations of a reader that confirms in turns; the others see that it reaches the store. */
 const MAX_DEFERRAL_MILLISECONDS = WAIT_PERIOD_MILLISECONDS + HEARTBEAT_INTERVAL_MILLISECONDS;
+/** Time between two responses about a table whose copy is confirmed by responses about another one, in milliseconds. */
+const FOLLOWING_TABLE_PERIOD_MILLISECONDS = 5_000;
+/** Time for which a copy may stay unconfirmed after a response about another table before its own table is read. */
+const MAX_CONFIRMATION_LAG_MILLISECONDS = 150;
+/** Time for which each table is confirmed by its own responses after others have not confirmed it, in milliseconds. */
+const OWN_CONFIRMATION_MILLISECONDS = 5_000;
 /** Time without a heartbeat after which a reader counts as stopped: three heartbeats. */
 const READER_TIMEOUT_MILLISECONDS = 600;
 /** Delay between the entry VMs of consecutive ranks that may take the place of a reader. */
@@ -47,7 +54,7 @@
 const MAX_REPORTED_MILLISECONDS = 60_000;
 export interface StoreReadersOptions {
   readonly selfId: string;
-  /** All watched tables by name. */
+  /** All watched tables by name. Responses about the first confirmed one confirm the others as well. */
   readonly tables: ReadonlyMap<string, TableWatcher>;
   /** Whether changes of a table must be known in time; the readers confirm these tables to the others. */
   readonly isConfirmed: (table: string) => boolean;
@@ -93,6 +100,11 @@
   /** Entry VMs in order of preference as readers, and the set that was ordered. */
   #readerOrder: readonly string[] = [];
   #orderedEntryVms: readonly EntryVmRecord[] | undefined;
+  readonly #transactions = new KnownTransactions();
+  /** Version up to which the copy of each table is known to be complete. */
+  readonly #completeUpTo = new Map<string, number>();
+  /** Until when each table is confirmed by its own responses only. */
+  #confirmsSeparatelyUntil = 0;
 
   constructor(options: StoreReadersOptions) {
     this.#options = options;
@@ -101,6 +113,12 @@
       table.onDidReadFeed((changes) => {
         this.#relay(changes);
       });
+      table.onDidApply(({ rows, newestChange }) => {
+        rows.forEach(({ version }) => {
+          this.#transactions.record(version);
+        });
+        this.#transactions.record(newestChange);
+      });
     }
   }
 
@@ -125,6 +143,9 @@
     for (const table of tables.values()) {
       table.setSource(this.#isReader ? 'feed' : 'relay');
     }
+    if (this.#isReader) {
+      this.#readUnconfirmedTables(now);
+    }
     const confirmedAt = this.#confirmedAt();
     // A confirmation is announced at once, or more entry VMs begin to read.
     if (this.#isReader && (now >= this.#nextHeartbeatAt || confirmedAt > this.#announcedConfirmation)) {
@@ -138,14 +159,13 @@
    * Duration of a wait for changes of a confirmed table, in milliseconds. The preferred reader keeps a steady period; the
    * other one reads at its turn without waiting, since changes are relayed to it; a reader without another confirms alone.
    */
-  confirmationWaitMilliseconds(now: number): number {
+  confirmationWaitMilliseconds(name: string, now: number): number {
     if (this.#preferredConfirmation(now) !== undefined) {
       return 0;
     }
-    const hasOther = [...this.#confirmations].some(
-      ([id, confirmedAt]) => !this.#yieldsTo(id) && now - confirmedAt < MAX_READER_AGE_MILLISECONDS,
-    );
-    return hasOther ? WAIT_PERIOD_MILLISECONDS : CONFIRMATION_INTERVAL_MILLISECONDS;
+    return name !== this.#leadingTable() && now >= this.#confirmsSeparatelyUntil
+      ? FOLLOWING_TABLE_PERIOD_MILLISECONDS
+      : this.#confirmationPeriodMilliseconds(now);
   }
 
   /**
@@ -162,10 +182,17 @@
     if (!this.#options.isConfirmed(name)) {
       return HEARTBEAT_INTERVAL_MILLISECONDS;
     }
-    const hasHadTurn = table.confirmedAt > preferredAt + MIN_WAIT_MILLISECONDS;
+    const confirmedAt = this.#confirmedAtOf(name, table);
+    const hasHadTurn = confirmedAt > preferredAt + MIN_WAIT_MILLISECONDS;
     const turnAt =
       preferredAt + (hasHadTurn ? MAX_PREFERRED_AGE_MILLISECONDS : CONFIRMATION_INTERVAL_MILLISECONDS);
-    return Math.max(0, Math.min(turnAt, table.confirmedAt + MAX_DEFERRAL_MILLISECONDS) - now);
+    const dueAt = Math.min(turnAt, confirmedAt + MAX_DEFERRAL_MILLISECONDS);
+    if (name === this.#leadingTable()) {
+      return Math.max(0, dueAt - now);
+    }
+    // The response about the leading table comes first.
+    const ownDueAt = table.confirmedAt + FOLLOWING_TABLE_PERIOD_MILLISECONDS;
+    return Math.max(0, Math.min(dueAt + MAX_CONFIRMATION_LAG_MILLISECONDS, ownDueAt) - now);
   }
 
   /** Time for which a live reader has reached the store without an outage; 0 if there is no live reader. */
@@ -174,6 +201,11 @@
     return isReaderAlive ? Math.max(0, now - this.#storeReachableSince) : 0;
   }
 
+  /** Records the version of a transaction that has changed none of the confirmed tables. */
+  recordTransaction(version: number): void {
+    this.#transactions.record(version);
+  }
+
   /** Version of the newest known change of each table. */
   versions(): Record<string, number> {
     return Object.fromEntries([...this.#options.tables].map(([name, table]) => [name, table.newestChange]));
@@ -234,6 +266,7 @@
       return;
     }
     this.#isReader = isReader;
+    this.#confirmsSeparatelyUntil = now + OWN_CONFIRMATION_MILLISECONDS;
     const { selfId, assignerId, logger } = this.#options;
     logger.log('info', isReader ? 'store-reader-started' : 'store-reader-stopped', {
       rank: this.#readerOrder.indexOf(selfId),
@@ -336,12 +369,61 @@
     this.#confirmations.set(readerId, Math.max(known, confirmedAt));
   }
 
+  /** Interval of the confirmations of a reader that does not confirm in turns. */
+  #confirmationPeriodMilliseconds(now: number): number {
+    const hasOther = [...this.#confirmations].some(
+      ([id, confirmedAt]) => !this.#yieldsTo(id) && now - confirmedAt < MAX_READER_AGE_MILLISECONDS,
+    );
+    return hasOther ? WAIT_PERIOD_MILLISECONDS : CONFIRMATION_INTERVAL_MILLISECONDS;
+  }
+
+  /** Name of the first confirmed table. */
+  #leadingTable(): string | undefined {
+    return [...this.#options.tables.keys()].find((name) => this.#options.isConfirmed(name));
+  }
+
   /** Up to when the copies of this process are known to be current. */
   #confirmedAt(): number {
     const { tables, isConfirmed } = this.#options;
     return Math.min(
-      ...[...tables].flatMap(([name, table]) => (isConfirmed(name) ? [table.confirmedAt] : [])),
+      ...[...tables].flatMap(([name, table]) =>
+        isConfirmed(name) ? [this.#confirmedAtOf(name, table)] : [],
+      ),
+    );
+  }
+
+  /**
+   * Up to when the copy of a table is known to be current: the time of the store's last response about it, or about
+   * another table if that stated a version up to which all transactions are known. No response confirms a table that
+   * has changed meanwhile, so a dead connection shows as soon as it hides a change.
+   */
+  #confirmedAtOf(name: string, table: TableWatcher): number {
+    const { confirmedAt, version } = table;
+    if (version === undefined) {
+      return confirmedAt;
+    }
+    const completeUpTo = this.#transactions.lastAfter(Math.max(version, this.#completeUpTo.get(name) ?? 0));
+    this.#completeUpTo.set(name, completeUpTo);
+    const confirming = [...this.#options.tables.values()].filter(
+      (other) => other.confirmedVersion <= completeUpTo,
     );
+    return Math.max(confirmedAt, ...confirming.map((other) => other.confirmedAt));
+  }
+
+  /** Reads the tables that responses about another one have not confirmed in time. */
+  #readUnconfirmedTables(now: number): void {
+    if (this.#preferredConfirmation(now) !== undefined || now < this.#confirmsSeparatelyUntil) {
+      return;
+    }
+    const { tables, isConfirmed } = this.#options;
+    const maxAge = this.#confirmationPeriodMilliseconds(now) + MAX_CONFIRMATION_LAG_MILLISECONDS;
+    for (const [name, table] of tables) {
+      const isFollowing = isConfirmed(name) && name !== this.#leadingTable();
+      if (isFollowing && now - this.#confirmedAtOf(name, table) > maxAge) {
+        this.#confirmsSeparatelyUntil = now + OWN_CONFIRMATION_MILLISECONDS;
+        table.poll();
+      }
+    }
   }
 
   #sendHeartbeats(now: number): void {
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -27,7 +27,7 @@
 export const SERVICE = 'catalogue';
 const SERVERS_TABLE = 'servers';
 /** Each row asks for the evacuation of the zone that its key names. */
-const EVACUATIONS_TABLE = 'evacuations';
+export const EVACUATIONS_TABLE = 'evacuations';
 const COLD_START = { warmupMilliseconds: 3_000, requestsPerSecond: 6 };
 const TICK_MILLISECONDS = 50;
 const CHECK_MILLISECONDS = 10;
@@ -130,7 +130,7 @@
           {
             table,
             waitMilliseconds: () =>
-              table === CONTROL_TABLE ? 5_000 : controller.confirmationWaitMilliseconds(),
+              table === CONTROL_TABLE ? 5_000 : controller.confirmationWaitMilliseconds(table),
             deferralMilliseconds: () => controller.deferralMilliseconds(table),
             pauseMilliseconds: 10,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
+import { EVACUATIONS_TABLE, KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
 
 /** Time within which every entry VM must know that a server is leaving: the platform's `drain`. */
 const DRAIN_MILLISECONDS = 2_000;
@@ -106,6 +106,44 @@
     });
   }
 
+  it('needs the calls of one table to confirm several that do not change', async () => {
+    await withKeyOwnershipRig(
+      async (rig) => {
+        startVmsUpTo(rig, 6);
+        await rig.advance(10_000);
+        const before = rig.store.calls;
+        const seconds = 20;
+        await rig.advance(seconds * 1_000);
+        const calls = rig.store.calls - before;
+        // One table each 500 ms, the other each 5 s by each of the two readers, the control table each 5 s by one.
+        const callsPerSecond = 2 + 2 * 0.2 + 0.2 + 0.5;
+        assert.ok(calls <= seconds * callsPerSecond + CALLS_AT_THE_EDGES, `${calls.toString()} calls`);
+      },
+      { watchesEvacuations: true },
+    );
+  });
+
+  it('delivers a change of a table that others confirm although the wait for it hangs', async () => {
+    for (const offset of [0, 270, 530, 790]) {
+      await withKeyOwnershipRig(
+        async (rig) => {
+          startVmsUpTo(rig, 6);
+          await rig.advance(10_000);
+          const [assigner = ''] = rig.assigners;
+          rig.store.silenceWaits(assigner, true, EVACUATIONS_TABLE);
+          await rig.advance(6_000 + offset);
+          rig.evacuate('zone-100');
+          await rig.advance(1_000);
+          const aware = [...rig.vms.values()].filter(({ tables }) =>
+            tables.get(EVACUATIONS_TABLE)?.rows.has('zone-100'),
+          );
+          assert.is(aware.length, rig.vms.size, `after ${offset.toString()} ms`);
+        },
+        { watchesEvacuations: true },
+      );
+    }
+  });
+
   for (const { name, disturb } of [
     {
       name: 'is killed',
@@ -178,6 +216,7 @@
   }
 
   it('delivers changes in time whatever share of the entry VMs the store falls silent to at any moment', async () => {
+    const zone = 'zone-100';
     await fc.assert(
       fc.asyncProperty(
         fc.integer({ min: 0, max: 3_000 }),
@@ -186,25 +225,40 @@
           maxLength: 4,
         }),
         fc.boolean(),
-        async (silencedAt, changedAfter, others, includesReaders) => {
-          await withKeyOwnershipRig(async (rig) => {
-            startVmsUpTo(rig, 10);
-            await rig.advance(3_000 + silencedAt);
-            const silenced = new Set([...(includesReaders ? readerIds(rig) : []), ...others]);
-            silenced.forEach((id) => {
-              rig.store.silence(id, true);
-            });
-            await rig.advance(changedAfter);
-            rig.announce('server-4', 'leaving');
-            await rig.advance(DRAIN_MILLISECONDS);
-            const unaware = [...rig.vms.keys()].filter(
-              (id) => !silenced.has(id) && rig.phaseOf(id, 'server-4') !== 'leaving',
-            );
-            assert.equal(unaware, []);
-          });
+        fc.boolean(),
+        async (silencedAt, changedAfter, others, includesReaders, isServerChanged) => {
+          await withKeyOwnershipRig(
+            async (rig) => {
+              startVmsUpTo(rig, 10);
+              await rig.advance(9_000 + silencedAt);
+              const silenced = new Set([...(includesReaders ? readerIds(rig) : []), ...others]);
+              silenced.forEach((id) => {
+                rig.store.silence(id, true);
+              });
+              await rig.advance(changedAfter);
+              if (isServerChanged) {
+                rig.announce('server-4', 'leaving');
+              } else {
+                rig.evacuate(zone);
+              }
+              await rig.advance(DRAIN_MILLISECONDS);
+              const unaware = [...rig.vms.values()].filter(
+                ({ id, tables }) =>
+                  !silenced.has(id) &&
+                  (isServerChanged
+                    ? rig.phaseOf(id, 'server-4') !== 'leaving'
+                    : tables.get(EVACUATIONS_TABLE)?.rows.has(zone) !== true),
+              );
+              assert.equal(
+                unaware.map(({ id }) => id),
+                [],
+              );
+            },
+            { watchesEvacuations: true },
+          );
         },
       ),
-      { seed: 26, numRuns: 25 },
+      { seed: 26, numRuns: 50 },
     );
   });
 
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -146,7 +146,7 @@
             waitMilliseconds: () =>
               table === CONTROL_TABLE
                 ? CONTROL_WAIT_MILLISECONDS
-                : this.#keyOwnership.confirmationWaitMilliseconds(),
+                : this.#keyOwnership.confirmationWaitMilliseconds(table),
             deferralMilliseconds: () => this.#keyOwnership.deferralMilliseconds(table),
             pauseMilliseconds,
             ...options,
@@ -168,8 +168,8 @@
       idlePauseMilliseconds: ASSIGNMENT_PAUSE_MILLISECONDS,
     });
     this.#tables = new Map([
-      [binding.configurationTable, this.#configurationRows],
       [binding.serversTable, this.#serverRows],
+      [binding.configurationTable, this.#configurationRows],
       [CONTROL_TABLE, this.#controlRows],
     ]);
     this.#serverRegistry = new ServerRegistry(
--- a/packages/standIns/src/common/emulator/memoryRowStore.ts
+++ b/packages/standIns/src/common/emulator/memoryRowStore.ts
@@ -42,7 +42,8 @@
   #historyStartVersion = 0;
   #calls = 0;
   #condition: StoreCondition = { kind: 'working' };
-  readonly #callersWithUnansweredWaits = new Set<string>();
+  /** Table of the waits that go without a response, by caller; undefined for all tables. */
+  readonly #unansweredWaits = new Map<string, string | undefined>();
   readonly #refusedCallers = new Set<string>();
   readonly #silencedCallers = new Set<string>();
 
@@ -73,12 +74,15 @@
     }
   }
 
-  /** Lets later waits of one caller for changes go without a response. Waits in progress aren't affected. */
-  silenceWaits(caller: string, isSilent: boolean): void {
+  /**
+   * Lets later waits of one caller for changes go without a response. Waits in progress aren't affected.
+   * @param table the table whose waits are affected; by default those of all tables.
+   */
+  silenceWaits(caller: string, isSilent: boolean, table?: string): void {
     if (isSilent) {
-      this.#callersWithUnansweredWaits.add(caller);
+      this.#unansweredWaits.set(caller, table);
     } else {
-      this.#callersWithUnansweredWaits.delete(caller);
+      this.#unansweredWaits.delete(caller);
     }
   }
 
@@ -133,7 +137,8 @@
       waitForChanges: async (table, afterVersion, waitMilliseconds, signal) => {
         await emulateCall(signal);
         const startedAt = performance.now();
-        const changes = await (this.#callersWithUnansweredWaits.has(caller)
+        const changes = await (this.#unansweredWaits.has(caller) &&
+        (this.#unansweredWaits.get(caller) ?? table) === table
           ? this.#failWaitAfterTimeout(signal)
           : this.#waitForChanges(table, afterVersion, waitMilliseconds, signal));
         if (this.#condition.kind === 'down' || this.#refusedCallers.has(caller)) {
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -17,6 +17,9 @@
 /** Default of `maxLagMilliseconds`. */
 export const DEFAULT_MAX_LAG_MILLISECONDS = 300;
 
+/** Number of changes from which on a response may end before the newest version of the store. */
+const MAX_CHANGES_OF_WHOLE_RESPONSE = 100;
+
 /** Which table to watch, and how often to read its feed. */
 export interface TableWatcherOptions {
   readonly table: string;
@@ -98,6 +101,7 @@
   readonly #copy = new TableCopy();
   readonly #onDidChange = new Emitter<void>();
   readonly #onDidReadFeed = new Emitter<FeedChanges>();
+  readonly #onDidApply = new Emitter<ListedChanges>();
   #source: ChangeSource = 'feed';
   /** Whether the feed is to be read once without waiting for changes, whatever the source is. */
   #isPollDue = false;
@@ -125,11 +129,14 @@
   #behindSince: number | undefined;
   #lastSource: CopySource | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
+  #confirmedVersion = Number.POSITIVE_INFINITY;
   /** Duration of the next wait after a pause that followed a change, in milliseconds. */
   #remainingWait: number | undefined;
 
   /** Fires after the copy has changed and after each read of the whole table. */
   readonly onDidChange = this.#onDidChange.event;
+  /** Fires after changes were applied, whatever their source. */
+  readonly onDidApply = this.#onDidApply.event;
   /** Fires after changes from the feed were applied, so that they can be relayed. */
   readonly onDidReadFeed = this.#onDidReadFeed.event;
 
@@ -177,6 +184,14 @@
     return this.#confirmedAt;
   }
 
+  /**
+   * Newest version of the store, which counts the changes of all tables, by the response at `confirmedAt`; infinite if
+   * the response does not tell.
+   */
+  get confirmedVersion(): number {
+    return this.#confirmedVersion;
+  }
+
   /** How the newest version of this copy arrived; for logs. */
   get lastSource(): CopySource | undefined {
     return this.#lastSource;
@@ -368,7 +383,8 @@
         await this.#readTable();
         return;
       case 'changes': {
-        this.#confirmedAt = performance.now();
+        const changeCount = changes.rows.length + changes.deletedKeys.length;
+        this.#confirm(changeCount < MAX_CHANGES_OF_WHOLE_RESPONSE ? changes.version : undefined);
         const newRelevantRows = this.#relevantRows(changes.rows, after);
         const relevantRows = this.#isFeedContinuous ? newRelevantRows : changes.rows;
         this.#isFeedContinuous = true;
@@ -502,11 +518,17 @@
     this.#lastSource = source;
     this.#recordUnchanged(source, changes.version, changes.newestChange);
     if (isChanged) {
+      this.#onDidApply.fire(changes);
       this.#onDidChange.fire();
     }
     return isChanged;
   }
 
+  #confirm(storeVersion: number | undefined): void {
+    this.#confirmedAt = performance.now();
+    this.#confirmedVersion = storeVersion ?? Number.POSITIVE_INFINITY;
+  }
+
   /** Reads the whole table. A reload requested while the read is in progress leads to another read. */
   async #reloadTable(): Promise<void> {
     this.#isReloadDue = false;
@@ -522,7 +544,7 @@
 
   async #readTable(): Promise<void> {
     const snapshot = await this.#store.readTable(this.#options.table);
-    this.#confirmedAt = performance.now();
+    this.#confirm(snapshot.version);
     if (!this.#copy.applySnapshot(snapshot)) {
       this.#isReloadDue = true;
       return;
