Begin no election before the rank is known

What operators saw: at the first start of a deployment all entry VMs wrote to the row of the assigner, and all but one lost: 18 elections of 18 entry VMs, 17 lost (trial, logs of all).

Cause: while the rank is not known the timer of the election is set to the present, but the check that follows reads the clock again. For a process that knows no other, which takes itself for the first candidate, any later time was late enough. The clock of the tests stands still during a tick, so none showed it.

--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -302,8 +302,8 @@
   }
 
   #shouldCampaign(row: AssignerRow | undefined): boolean {
-    const { isStoreReachable, rank, hasEnded } = this.#options;
-    if (!isStoreReachable()) {
+    const { isStoreReachable, isRankKnown, rank, hasEnded } = this.#options;
+    if (!isStoreReachable() || !isRankKnown()) {
       return false;
     }
     const now = performance.now();
