Try one table while the store does not serve a reader

Cause: each table repeats its own failed call. Whether the store serves this process is the same for all tables.

Evidence: the test of a rejected reader failed before (62 and 63 calls in 10 s, 28 at rest, at most 54) and passes.

--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -176,6 +176,9 @@
   deferralMilliseconds(name: string, now: number): number {
     const preferredAt = this.#preferredConfirmation(now);
     const table = this.#options.tables.get(name);
+    if (name !== this.#leadingTable() && this.#isStoreSilent()) {
+      return HEARTBEAT_INTERVAL_MILLISECONDS;
+    }
     if (preferredAt === undefined || table === undefined) {
       return 0;
     }
@@ -377,6 +380,11 @@
     return hasOther ? WAIT_PERIOD_MILLISECONDS : CONFIRMATION_INTERVAL_MILLISECONDS;
   }
 
+  /** Whether calls fail. The leading table is enough to find out when they succeed again. */
+  #isStoreSilent(): boolean {
+    return this.#options.storeSilenceMilliseconds() > MAX_STORE_SILENCE_MILLISECONDS;
+  }
+
   /** Name of the first confirmed table. */
   #leadingTable(): string | undefined {
     return [...this.#options.tables.keys()].find((name) => this.#options.isConfirmed(name));
@@ -412,7 +420,11 @@
 
   /** Reads the tables that responses about another one have not confirmed in time. */
   #readUnconfirmedTables(now: number): void {
-    if (this.#preferredConfirmation(now) !== undefined || now < this.#confirmsSeparatelyUntil) {
+    if (
+      this.#preferredConfirmation(now) !== undefined ||
+      now < this.#confirmsSeparatelyUntil ||
+      this.#isStoreSilent()
+    ) {
       return;
     }
     const { tables, isConfirmed } = this.#options;
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -123,6 +123,33 @@
     );
   });
 
+  it('tries one table while the store rejects a reader', async () => {
+    await withKeyOwnershipRig(
+      async (rig) => {
+        startVmsUpTo(rig, 6);
+        await rig.advance(10_000);
+        const seconds = 10;
+        const countCalls = async (): Promise<number> => {
+          const before = rig.store.calls;
+          await rig.advance(seconds * 1_000);
+          return rig.store.calls - before;
+        };
+        const atRest = await countCalls();
+        const [rejected = ''] = readerIds(rig).filter((id) => !rig.assigners.includes(id));
+        rig.store.refuse(rejected, true);
+        await rig.advance(3_000);
+        const calls = await countCalls();
+        // Its reads of the table follow each other after at least 0.8 s, and it probes the store each second.
+        const callsOfRejected = seconds / 0.8 + seconds + 4;
+        assert.ok(
+          calls <= atRest + callsOfRejected,
+          `${calls.toString()} calls, ${atRest.toString()} at rest`,
+        );
+      },
+      { watchesEvacuations: true },
+    );
+  });
+
   it('delivers a change of a table that others confirm although the wait for it hangs', async () => {
     for (const offset of [0, 270, 530, 790]) {
       await withKeyOwnershipRig(
