Read the configuration from a neighbour at the start

Cause: only the first copy of the servers was read from neighbours, that of the configuration always from the store. But an entry VM serves only with both tables, and it waits for the servers in the same way: both are asked for at the same time, and a silent neighbour costs 250 ms once.

Now both first copies have the same source. An entry VM serves only once both are as new as a reader's heartbeat says, as before. The first entry VMs after a loss of power still read the store.

--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -10,6 +10,7 @@
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
 import {
+  type FirstCopySource,
   type NeighbourResult,
   type NeighbourTables,
   TableWatcher,
@@ -144,9 +145,10 @@
       isRelevantChange: (_before, { key }) => !isAssignmentRowKey(key),
       idlePauseMilliseconds: 500,
     });
+    const firstCopySource = (): FirstCopySource =>
+      controller.isReader ? 'store' : selector.firstCopySource(entryVmRegistry.isSettled);
     const serverRows = watch(SERVERS_TABLE, {
-      firstCopySource: () =>
-        controller.isReader ? 'store' : selector.firstCopySource(entryVmRegistry.isSettled),
+      firstCopySource,
       isRelevantChange: (before, after) => isNewAnnouncement(before, after, decode),
       idlePauseMilliseconds: Number.POSITIVE_INFINITY,
     });
@@ -165,7 +167,7 @@
       logger,
     );
     if (this.#watchesEvacuations) {
-      const evacuationRows = watch(EVACUATIONS_TABLE);
+      const evacuationRows = watch(EVACUATIONS_TABLE, { firstCopySource });
       tables.set(EVACUATIONS_TABLE, evacuationRows);
       disposables.add(
         evacuationRows.onDidChange(() => {
