--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -15,11 +15,7 @@
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
-import {
-  type FirstCopySource,
-  TableWatcher,
-  type TableWatcherOptions,
-} from '@hickoryhoist/store/common/tableWatcher.js';
+import { TableWatcher, type TableWatcherOptions } from '@hickoryhoist/store/common/tableWatcher.js';
 import { AssignableServers } from '../common/assignableServers.js';
 import { AvailableServers } from '../common/availableServers.js';
 import { ByteAccount } from '../common/byteAccount.js';
@@ -160,15 +156,12 @@
           logger,
         ),
       );
-    const firstCopySource = (): FirstCopySource =>
-      this.#keyOwnership.isReader ? 'store' : selector.firstCopySource(this.#entryVmRegistry.isSettled);
-    this.#configurationRows = watch(binding.configurationTable, CONFIGURATION_PAUSE_MILLISECONDS, {
-      firstCopySource,
-    });
+    this.#configurationRows = watch(binding.configurationTable, CONFIGURATION_PAUSE_MILLISECONDS);
     this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, {
       isRelevantChange: (before, after) =>
         isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
-      firstCopySource,
+      firstCopySource: () =>
+        this.#keyOwnership.isReader ? 'store' : selector.firstCopySource(this.#entryVmRegistry.isSettled),
     });
     this.#controlRows = watch(CONTROL_TABLE, CONTROL_PAUSE_MILLISECONDS, {
       isRelevantChange: (_before, { key }) => !isAssignmentRowKey(key),
