--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -149,10 +149,11 @@
           store,
           {
             table,
-            waitMilliseconds: (followsChange) =>
+            waitMilliseconds: () =>
               table === CONTROL_TABLE
                 ? CONTROL_WAIT_MILLISECONDS
-                : this.#keyOwnership.confirmationWaitMilliseconds(followsChange),
+                : this.#keyOwnership.confirmationWaitMilliseconds(table),
+            deferralMilliseconds: () => this.#keyOwnership.deferralMilliseconds(table),
             pauseMilliseconds,
             ...options,
             maxLagMilliseconds: () => selector.maxLagMilliseconds,
@@ -173,8 +174,8 @@
       idlePauseMilliseconds: ASSIGNMENT_PAUSE_MILLISECONDS,
     });
     this.#tables = new Map([
-      [binding.configurationTable, this.#configurationRows],
       [binding.serversTable, this.#serverRows],
+      [binding.configurationTable, this.#configurationRows],
       [CONTROL_TABLE, this.#controlRows],
     ]);
     this.#serverRegistry = new ServerRegistry(
--- a/packages/store/src/common/tableWatcher.ts
+++ b/packages/store/src/common/tableWatcher.ts
@@ -17,14 +17,19 @@
 /** Default of `maxLagMilliseconds`. */
 export const DEFAULT_MAX_LAG_MILLISECONDS = 300;
 
+/** Number of changes from which on a response may end before the newest version of the store. */
+const MAX_CHANGES_OF_WHOLE_RESPONSE = 100;
+
 /** Which table to watch, and how often to read its feed. */
 export interface TableWatcherOptions {
   readonly table: string;
+  /** Maximum time that the next call waits for changes, in milliseconds. */
+  readonly waitMilliseconds: () => number;
   /**
-   * Maximum time that the next call waits for changes, in milliseconds.
-   * @param followsChange whether the last call returned a change, as it did for all processes that waited for one.
+   * Time for which the next call is not due, in milliseconds, because another process reads the feed and relays it. Asked
+   * again when it has passed.
    */
-  readonly waitMilliseconds: (followsChange: boolean) => number;
+  readonly deferralMilliseconds?: () => number;
   /** Delay after a change before the next call, so that one call returns several quick changes; in milliseconds. */
   readonly pauseMilliseconds: number;
   /**
@@ -96,6 +101,7 @@
   readonly #copy = new TableCopy();
   readonly #onDidChange = new Emitter<void>();
   readonly #onDidReadFeed = new Emitter<FeedChanges>();
+  readonly #onDidApply = new Emitter<ListedChanges>();
   #source: ChangeSource = 'feed';
   /** Whether the feed is to be read once without waiting for changes, whatever the source is. */
   #isPollDue = false;
@@ -123,13 +129,14 @@
   #behindSince: number | undefined;
   #lastSource: CopySource | undefined;
   #confirmedAt = Number.NEGATIVE_INFINITY;
-  /** Whether the last response of the feed contained a change. */
-  #followsChange = false;
-  /** Duration of the next wait after an idle pause, in milliseconds. */
+  #confirmedVersion = Number.POSITIVE_INFINITY;
+  /** Duration of the next wait after a pause that followed a change, in milliseconds. */
   #remainingWait: number | undefined;
 
   /** Fires after the copy has changed and after each read of the whole table. */
   readonly onDidChange = this.#onDidChange.event;
+  /** Fires after changes were applied, whatever their source. */
+  readonly onDidApply = this.#onDidApply.event;
   /** Fires after changes from the feed were applied, so that they can be relayed. */
   readonly onDidReadFeed = this.#onDidReadFeed.event;
 
@@ -177,6 +184,14 @@
     return this.#confirmedAt;
   }
 
+  /**
+   * Newest version of the store, which counts the changes of all tables, by the response at `confirmedAt`; infinite if
+   * the response does not tell.
+   */
+  get confirmedVersion(): number {
+    return this.#confirmedVersion;
+  }
+
   /** How the newest version of this copy arrived; for logs. */
   get lastSource(): CopySource | undefined {
     return this.#lastSource;
@@ -251,7 +266,7 @@
       this.#isPollDue ||=
         source === 'feed' &&
         this.version !== undefined &&
-        performance.now() - this.#confirmedAt > this.#options.waitMilliseconds(false);
+        performance.now() - this.#confirmedAt > this.#options.waitMilliseconds();
       this.#wakeUp();
     }
   }
@@ -323,7 +338,7 @@
   }
 
   async #advance(): Promise<void> {
-    const { table, waitMilliseconds, pauseMilliseconds, firstCopySource } = this.#options;
+    const { table, waitMilliseconds, deferralMilliseconds, firstCopySource } = this.#options;
     if (this.#isReloadDue) {
       await this.#reloadTable();
       return;
@@ -344,7 +359,12 @@
       });
       return;
     }
-    const wait = this.#isPollDue ? 0 : (this.#remainingWait ?? waitMilliseconds(this.#followsChange));
+    const deferral = this.#isPollDue ? 0 : (deferralMilliseconds?.() ?? 0);
+    if (deferral > 0) {
+      await this.#pause(deferral);
+      return;
+    }
+    const wait = this.#isPollDue ? 0 : (this.#remainingWait ?? waitMilliseconds());
     this.#isPollDue = false;
     this.#remainingWait = undefined;
     const after = this.version;
@@ -363,13 +383,13 @@
         await this.#readTable();
         return;
       case 'changes': {
-        this.#confirmedAt = performance.now();
+        const changeCount = changes.rows.length + changes.deletedKeys.length;
+        this.#confirm(changeCount < MAX_CHANGES_OF_WHOLE_RESPONSE ? changes.version : undefined);
         const newRelevantRows = this.#relevantRows(changes.rows, after);
         const relevantRows = this.#isFeedContinuous ? newRelevantRows : changes.rows;
         this.#isFeedContinuous = true;
         const unchangedSince = Math.min(this.#unchangedSince, after);
         const isChanged = this.#apply(changes, 'feed');
-        this.#followsChange = isChanged;
         if (isChanged) {
           this.#onDidReadFeed.fire({
             table,
@@ -377,7 +397,7 @@
             changes: { ...changes, rows: relevantRows },
           });
           const isRelevant = newRelevantRows.length > 0 || changes.deletedKeys.length > 0;
-          await (isRelevant ? delay(pauseMilliseconds) : this.#pauseIdle());
+          await this.#pauseAfterChange(isRelevant);
         }
       }
     }
@@ -425,15 +445,15 @@
   }
 
   /**
-   * Pauses after changes of which none is relevant. Load pattern: hundreds of servers repeat their announcements, so
-   * that no wait for changes lasts.
+   * Pauses after a change, and shortens the next wait accordingly, so that the copy is confirmed as often as that of a
+   * table that does not change. Load pattern: hundreds of servers repeat their announcements, so that no wait lasts.
    */
-  async #pauseIdle(): Promise<void> {
+  async #pauseAfterChange(isRelevant: boolean): Promise<void> {
     const { waitMilliseconds, pauseMilliseconds, idlePauseMilliseconds = pauseMilliseconds } = this.#options;
-    const wait = waitMilliseconds(false);
-    const pause = Math.min(wait, idlePauseMilliseconds);
-    await this.#pause(pause);
-    this.#remainingWait = wait - pause;
+    const wait = waitMilliseconds();
+    const pause = isRelevant ? pauseMilliseconds : Math.min(wait, idlePauseMilliseconds);
+    await (isRelevant ? delay(pause) : this.#pause(pause));
+    this.#remainingWait = Math.max(0, wait - pause);
   }
 
   /** Waits, until something is to be done at once. */
@@ -498,11 +518,17 @@
     this.#lastSource = source;
     this.#recordUnchanged(source, changes.version, changes.newestChange);
     if (isChanged) {
+      this.#onDidApply.fire(changes);
       this.#onDidChange.fire();
     }
     return isChanged;
   }
 
+  #confirm(storeVersion: number | undefined): void {
+    this.#confirmedAt = performance.now();
+    this.#confirmedVersion = storeVersion ?? Number.POSITIVE_INFINITY;
+  }
+
   /** Reads the whole table. A reload requested while the read is in progress leads to another read. */
   async #reloadTable(): Promise<void> {
     this.#isReloadDue = false;
@@ -518,7 +544,7 @@
 
   async #readTable(): Promise<void> {
     const snapshot = await this.#store.readTable(this.#options.table);
-    this.#confirmedAt = performance.now();
+    this.#confirm(snapshot.version);
     if (!this.#copy.applySnapshot(snapshot)) {
       this.#isReloadDue = true;
       return;
