Keep equal estimates equal

A server without samples and one whose only request took the assumed time were told apart by a rounding error of the logarithm, so that the first one was no longer preferred (`statedLoadEstimate.test.ts` failed). The means are updated as products, which leaves an equal time as it is.

--- a/packages/dispatch/src/common/processingTimeEstimator.ts
+++ b/packages/dispatch/src/common/processingTimeEstimator.ts
@@ -22,7 +22,7 @@
  */
 export class ProcessingTimeEstimator {
   readonly #service: ServiceProcessingTimes;
-  /** Logarithms of typical times. */
+  /** Typical times, in milliseconds; meaningless before the first sample. */
   #recent = 0;
   #longTerm = 0;
   #sampleCount = 0;
@@ -41,23 +41,35 @@
   get recentMilliseconds(): number {
     return this.#sampleCount === 0
       ? this.#service.averageMilliseconds
-      : Math.exp(this.#recent) * this.#service.meanFactor;
+      : this.#recent * this.#service.meanFactor;
   }
 
   /** Average time over the last `LONG_TERM_SAMPLES` requests, in milliseconds; meaningless before the first sample. */
   get longTermMilliseconds(): number {
-    return Math.exp(this.#longTerm) * this.#service.meanFactor;
+    return this.#longTerm * this.#service.meanFactor;
   }
 
   add(milliseconds: number): void {
-    const sample = Math.log(Math.max(MIN_MILLISECONDS, milliseconds));
-    const expected = Math.log(Math.max(MIN_MILLISECONDS, this.recentMilliseconds) / this.#service.meanFactor);
-    this.#service.recordSpread(Math.exp(sample - expected));
-    this.#recent = expected + Math.max(RECENT_WEIGHT, 1 / (this.#sampleCount + 2)) * (sample - expected);
-    this.#sampleCount = Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
-    this.#longTerm += (sample - this.#longTerm) / this.#sampleCount;
-    if (Math.abs(this.#recent - this.#longTerm) > Math.log(LONG_TERM_RESET_FACTOR)) {
+    const sample = Math.max(MIN_MILLISECONDS, milliseconds);
+    const expected = Math.max(MIN_MILLISECONDS, this.recentMilliseconds / this.#service.meanFactor);
+    this.#service.recordSpread(sample / expected);
+    const weight = Math.max(RECENT_WEIGHT, 1 / (this.#sampleCount + 2));
+    this.#recent = geometricMean(expected, sample, weight);
+    this.#longTerm =
+      this.#sampleCount === 0 ? sample : geometricMean(this.#longTerm, sample, 1 / this.#longTermSamples());
+    this.#sampleCount = this.#longTermSamples();
+    const ratio = this.#recent / this.#longTerm;
+    if (ratio > LONG_TERM_RESET_FACTOR || ratio < 1 / LONG_TERM_RESET_FACTOR) {
       this.#longTerm = this.#recent;
     }
   }
+
+  /** Number of samples that the long-term time covers with the next one. */
+  #longTermSamples(): number {
+    return Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
+  }
+}
+
+function geometricMean(mean: number, sample: number, weight: number): number {
+  return mean * (sample / mean) ** weight;
 }
