Look at the servers of a service once in a tick of its assigner

The assigner computed the servers of a service, with an estimate for each, two to four times in each tick of 50 ms: for commands, evacuations, balancing and the next write. They cannot change within a tick. It computes them once now and passes them on.

Beside it, two pieces in their own places: the memory of unresponsive servers is a class of its own, and the planner's test, the test of hot keys and the experiment build owned ranges with the function that the assigner uses, instead of three copies of it.

--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -6,7 +6,7 @@
 import { readAssignmentRow, type StoredAssignment, writeAssignment } from './assignmentStore.js';
 import { EvacuationRounds } from './evacuationRounds.js';
 import { HotKeyMoves } from './hotKeyMoves.js';
-import type { KeyAssignment, OwnedRange } from './keyAssignment.js';
+import { createOwnedRange, type KeyAssignment, type OwnedRange } from './keyAssignment.js';
 import { diffAssignments, type KeyAssignmentDelta } from './keyAssignmentDelta.js';
 import type { KeyGrantClient } from './keyGrantClient.js';
 import {
@@ -18,6 +18,7 @@
 } from './keyPlanner.js';
 import { keyOwnershipTiming, expiryMilliseconds } from './keyOwnershipTiming.js';
 import { type AssignerLease, neverGranted, type OwnerState, RangeLease } from './rangeLease.js';
+import { ServerSuspicions } from './serverSuspicions.js';
 
 /**
  * Moves that may start in one balancing round of a small service. Limits how many servers a change in load disrupts
@@ -42,10 +43,6 @@
 /** Maximum number of ranges of a service. One process renews the lease of each range once a second. */
 const MAX_RANGES = 600;
 
-/** Time for which an unresponsive server receives no keys, in milliseconds. Doubles with each further suspicion. */
-const INITIAL_SUSPICION_MILLISECONDS = 8_000;
-const MAX_SUSPICION_MILLISECONDS = 32_000;
-
 /** Whether a server may own keys. */
 export type AssignablePhase =
   | 'ready'
@@ -113,7 +110,7 @@
   #isWriting = false;
   /** Whether an earlier attempt of the pending write may have been applied. */
   #mayHaveApplied = false;
-  readonly #suspicions = new Map<string, { until: number; duration: number }>();
+  readonly #suspicions = new ServerSuspicions();
   #nextBalanceAt = 0;
   readonly #evacuationRounds = new EvacuationRounds();
   readonly #hotKeyMoves = new HotKeyMoves();
@@ -142,14 +139,14 @@
       this.#runningSince = now;
     }
     this.#lastTickAt = now;
+    const servers = this.#options.servers();
     if (!this.#isTakeover) {
-      const servers = this.#options.servers();
       this.#sendDueCommands(now, servers);
       this.#evacuate(now, servers);
-      this.#balance(now);
+      this.#balance(now, servers);
     }
     if (!this.#isWriting && this.#options.assignerLease.isValid()) {
-      this.#pendingWrite ??= this.#isTakeover ? this.#planTakeover() : this.#planWrite(now);
+      this.#pendingWrite ??= this.#isTakeover ? this.#planTakeover() : this.#planWrite(now, servers);
       if (this.#pendingWrite !== undefined) {
         void this.#write(this.#pendingWrite);
       }
@@ -177,25 +174,12 @@
       lease.revoke('server leaving');
     } else if (lease.isOwnerUnresponsive(now, this.#runningSince) && lease.goal === 'renew') {
       lease.revoke('server unresponsive');
-      this.#suspect(server, now);
+      this.#suspicions.record(server, now);
     } else if (lease.isConfirmed && lease.goal === 'renew') {
-      this.#suspicions.delete(incarnationKey(server));
+      this.#suspicions.clear(server);
     }
   }
 
-  #suspect(server: RegisteredServer, now: number): void {
-    const key = incarnationKey(server);
-    const previous = this.#suspicions.get(key);
-    if (previous !== undefined && now < previous.until) {
-      return;
-    }
-    const duration =
-      previous === undefined
-        ? INITIAL_SUSPICION_MILLISECONDS
-        : Math.min(2 * previous.duration, MAX_SUSPICION_MILLISECONDS);
-    this.#suspicions.set(key, { until: now + duration, duration });
-  }
-
   /** Starts moves of keys out of evacuated availability zones. */
   #evacuate(now: number, servers: ReadonlyMap<string, RegisteredServer>): void {
     const evacuated = [...servers.values()].filter(({ phase }) => phase === 'evacuated');
@@ -211,7 +195,7 @@
       now,
       ranges,
       evacuatedIds,
-      this.#readyServers(),
+      this.#readyServers(servers, now),
       this.#options.traffic,
     );
     for (const move of moves) {
@@ -224,12 +208,12 @@
     }
   }
 
-  #balance(now: number): void {
+  #balance(now: number, registered: ReadonlyMap<string, RegisteredServer>): void {
     if (now < this.#nextBalanceAt || this.#pendingWrite !== undefined) {
       return;
     }
     this.#nextBalanceAt = now + BALANCE_INTERVAL_MILLISECONDS;
-    const servers = this.#readyServers();
+    const servers = this.#readyServers(registered, now);
     const traffic = this.#options.traffic();
     const hotKeyMoves = this.#moveHotKeys(now, servers, traffic);
     const maxRanges = Math.min(MAX_RANGES, MAX_RANGES_PER_SERVER * servers.length);
@@ -302,11 +286,9 @@
     return true;
   }
 
-  #readyServers(): readonly RegisteredServer[] {
-    const now = performance.now();
-    return [...this.#options.servers().values()].filter(
-      (server) =>
-        server.phase === 'ready' && now >= (this.#suspicions.get(incarnationKey(server))?.until ?? 0),
+  #readyServers(servers: ReadonlyMap<string, RegisteredServer>, now: number): readonly RegisteredServer[] {
+    return [...servers.values()].filter(
+      (server) => server.phase === 'ready' && !this.#suspicions.isSuspected(server, now),
     );
   }
 
@@ -320,8 +302,7 @@
     return { assignment: { revision, ranges }, leases };
   }
 
-  #planWrite(now: number): PendingWrite | undefined {
-    const servers = this.#options.servers();
+  #planWrite(now: number, servers: ReadonlyMap<string, RegisteredServer>): PendingWrite | undefined {
     const revision = this.#writtenAssignment.revision + 1;
     const free: FreeRange[] = [];
     const freed: RangeLease[] = [];
@@ -340,7 +321,7 @@
         kept.push(lease);
       }
     }
-    const granted = this.#assignFreeRanges(free, kept, revision, now);
+    const granted = this.#assignFreeRanges(free, kept, revision, this.#readyServers(servers, now), now);
     if (granted.length === 0 && !isChanged) {
       return undefined;
     }
@@ -393,9 +374,9 @@
     free: readonly FreeRange[],
     kept: readonly RangeLease[],
     revision: number,
+    servers: readonly RegisteredServer[],
     now: number,
   ): readonly RangeLease[] {
-    const servers = this.#readyServers();
     const keptRanges = kept.map(({ range }) => range);
     if (servers.length === 0 || (free.length === 0 && keptRanges.length > 0)) {
       return [];
@@ -408,7 +389,9 @@
       const owner = newOwnerId === undefined ? undefined : byId.get(newOwnerId);
       return owner === undefined ? [] : [{ from, to, handover, owner }];
     });
-    const transferredRanges = transfers.map(({ from, to, owner }) => createRange(from, to, owner, revision));
+    const transferredRanges = transfers.map(({ from, to, owner }) =>
+      createOwnedRange(from, to, owner, revision),
+    );
     const taken = [...keptRanges, ...transferredRanges].sort((left, right) => left.from - right.from);
     const remaining = planUnownedKeys(taken, servers).map(({ from, to, owner }) => ({
       from,
@@ -418,7 +401,7 @@
     }));
     // A handover belongs to the whole range that was released; a part of that range is granted without it.
     return [...transfers, ...remaining].map(({ from, to, owner, handover }) =>
-      this.#createLease(createRange(from, to, owner, revision), neverGranted, handover),
+      this.#createLease(createOwnedRange(from, to, owner, revision), neverGranted, handover),
     );
   }
 
@@ -532,15 +515,6 @@
   return goal === 'renew' && isConfirmed && !isInFlight;
 }
 
-function incarnationKey({ id, incarnation }: CandidateServer): string {
-  return `${id}/${incarnation.toString()}`;
-}
-
-function createRange(from: number, to: number, owner: CandidateServer, fence: number): OwnedRange {
-  const { id, incarnation, address } = owner;
-  return { from, to, ownerId: id, ownerIncarnation: incarnation, ownerAddress: address, fence };
-}
-
 function findHandover(free: readonly FreeRange[], from: number, to: number): string | undefined {
   return free.find((keys) => keys.from === from && keys.to === to)?.handover;
 }
--- a/packages/keyOwnership/src/common/keyAssignment.ts
+++ b/packages/keyOwnership/src/common/keyAssignment.ts
@@ -26,6 +26,18 @@
 
 export const emptyAssignment: KeyAssignment = { revision: 0, ranges: [] };
 
+/** The server process that gets a range. */
+interface RangeOwner {
+  readonly id: string;
+  readonly incarnation: number;
+  readonly address: string;
+}
+
+export function createOwnedRange(from: number, to: number, owner: RangeOwner, fence: number): OwnedRange {
+  const { id, incarnation, address } = owner;
+  return { from, to, ownerId: id, ownerIncarnation: incarnation, ownerAddress: address, fence };
+}
+
 /** Finds the range that contains a key, by binary search. */
 export function findRange(ranges: readonly OwnedRange[], key: number): OwnedRange | undefined {
   let low = 0;
--- a/packages/keyOwnership/src/common/test/hotKeyMoves.test.ts
+++ b/packages/keyOwnership/src/common/test/hotKeyMoves.test.ts
@@ -2,7 +2,7 @@
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { type HotKeyMove, HotKeyMoves } from '../hotKeyMoves.js';
-import { findRange, type OwnedRange } from '../keyAssignment.js';
+import { createOwnedRange, findRange, type OwnedRange } from '../keyAssignment.js';
 import { type CandidateServer, type KeyTraffic, planUnownedKeys } from '../keyPlanner.js';
 
 const SECONDS = 2;
@@ -30,14 +30,7 @@
   return planUnownedKeys(
     [],
     servers.map((server) => ({ ...server, requestsPerSecond: 1 })),
-  ).map(({ from, to, owner }) => ({
-    from,
-    to,
-    ownerId: owner.id,
-    ownerIncarnation: 1,
-    ownerAddress: owner.address,
-    fence: 1,
-  }));
+  ).map(({ from, to, owner }) => createOwnedRange(from, to, owner, 1));
 }
 
 /** Requests for the hot keys, beside one for every hundredth key. */
--- a/packages/keyOwnership/src/common/test/keyPlanner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyPlanner.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'uvu/assert';
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { LAST_KEY, type OwnedRange } from '../keyAssignment.js';
+import { createOwnedRange, LAST_KEY, type OwnedRange } from '../keyAssignment.js';
 import { type KeyTraffic, type CandidateServer, planUnownedKeys, planMoves } from '../keyPlanner.js';
 import { countKeysIn } from '../sortedKeys.js';
 
@@ -28,14 +28,7 @@
 }
 
 function evenRanges(servers: readonly CandidateServer[]): readonly OwnedRange[] {
-  return planUnownedKeys([], servers).map(({ from, to, owner }) => ({
-    from,
-    to,
-    ownerId: owner.id,
-    ownerIncarnation: 1,
-    ownerAddress: owner.address,
-    fence: 1,
-  }));
+  return planUnownedKeys([], servers).map(({ from, to, owner }) => createOwnedRange(from, to, owner, 1));
 }
 
 /** Traffic with a hot spot: a share of the requests goes to a few adjacent keys. */
--- a/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
+++ b/packages/standIns/src/common/experiments/keyBalanceExperiment.ts
@@ -3,7 +3,12 @@
 import { type SlotDecision, SlotScheduler } from '@hickoryhoist/dispatch/common/slotScheduler.js';
 import { estimateProcessingTimes } from '@hickoryhoist/dispatch/common/processingTimes.js';
 import { HotKeyMoves } from '@hickoryhoist/keyownership/common/hotKeyMoves.js';
-import { LAST_KEY, type OwnedRange, findRange } from '@hickoryhoist/keyownership/common/keyAssignment.js';
+import {
+  createOwnedRange,
+  LAST_KEY,
+  type OwnedRange,
+  findRange,
+} from '@hickoryhoist/keyownership/common/keyAssignment.js';
 import {
   type CandidateServer,
   type PlannedMove,
@@ -221,14 +226,9 @@
       })),
       0,
     );
-    this.#ranges = planUnownedKeys([], this.#candidateServers()).map(({ from, to, owner }) => ({
-      from,
-      to,
-      ownerId: owner.id,
-      ownerIncarnation: 1,
-      ownerAddress: owner.address,
-      fence: 1,
-    }));
+    this.#ranges = planUnownedKeys([], this.#candidateServers()).map(({ from, to, owner }) =>
+      createOwnedRange(from, to, owner, 1),
+    );
     this.#scheduleEvery(BALANCE_MILLISECONDS, () => {
       this.#balance();
     });
