Derive what the statistics of a server already know

The scheduler passed the average time of its service with the end of each attempt, although each server's statistics have held the times of the service since they estimate by typical times. They read it there now. The warm-up factor had three copies, the estimator counted its samples by a method called twice, and the change of a counting period was nested in a condition computed twice.

--- a/packages/dispatch/src/common/keyDemand.ts
+++ b/packages/dispatch/src/common/keyDemand.ts
@@ -51,14 +51,16 @@
 
   #startPeriod(now: number): void {
     const elapsed = now - this.#periodStart;
-    if (elapsed >= PERIOD_MILLISECONDS) {
-      this.#previous = elapsed < 2 * PERIOD_MILLISECONDS ? this.#current : new Map();
-      this.#current = new Map();
-      this.#periodStart = elapsed < 2 * PERIOD_MILLISECONDS ? this.#periodStart + PERIOD_MILLISECONDS : now;
-      for (const key of this.#above) {
-        if (!this.#previous.has(key)) {
-          this.#above.delete(key);
-        }
+    if (elapsed < PERIOD_MILLISECONDS) {
+      return;
+    }
+    const isNext = elapsed < 2 * PERIOD_MILLISECONDS;
+    this.#previous = isNext ? this.#current : new Map();
+    this.#current = new Map();
+    this.#periodStart = isNext ? this.#periodStart + PERIOD_MILLISECONDS : now;
+    for (const key of this.#above) {
+      if (!this.#previous.has(key)) {
+        this.#above.delete(key);
       }
     }
   }
--- a/packages/dispatch/src/common/processingTimeEstimator.ts
+++ b/packages/dispatch/src/common/processingTimeEstimator.ts
@@ -55,19 +55,14 @@
     this.#service.recordSpread(sample / expected);
     const weight = Math.max(RECENT_WEIGHT, 1 / (this.#sampleCount + 2));
     this.#recent = geometricMean(expected, sample, weight);
+    this.#sampleCount = Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
     this.#longTerm =
-      this.#sampleCount === 0 ? sample : geometricMean(this.#longTerm, sample, 1 / this.#longTermSamples());
-    this.#sampleCount = this.#longTermSamples();
+      this.#sampleCount === 1 ? sample : geometricMean(this.#longTerm, sample, 1 / this.#sampleCount);
     const ratio = this.#recent / this.#longTerm;
     if (ratio > LONG_TERM_RESET_FACTOR || ratio < 1 / LONG_TERM_RESET_FACTOR) {
       this.#longTerm = this.#recent;
     }
   }
-
-  /** Number of samples that the long-term time covers with the next one. */
-  #longTermSamples(): number {
-    return Math.min(this.#sampleCount + 1, LONG_TERM_SAMPLES);
-  }
 }
 
 function geometricMean(mean: number, sample: number, weight: number): number {
--- a/packages/dispatch/src/common/serverPace.ts
+++ b/packages/dispatch/src/common/serverPace.ts
@@ -69,7 +69,8 @@
  *
  * It starts with one. While the server is as fast as its peers, each answer admits one more, which doubles the number with
  * each round of answers; while it is slower, each round admits one more; a failure halves the number. A server slower than
- * its peers by more than `TOLERATED_FACTOR` keeps its share: the slots divided by how much slower it is. The limit ends when all slots are admitted.
+ * its peers by more than `TOLERATED_FACTOR` keeps its share: the slots divided by how much slower it is. The limit ends
+ * when all slots are admitted.
  */
 export class ServerPace implements RequestPace {
   readonly #slots: number;
--- a/packages/dispatch/src/common/serverStatistics.ts
+++ b/packages/dispatch/src/common/serverStatistics.ts
@@ -42,6 +42,7 @@
   readonly slots: number;
   /** Attempts in flight, the oldest first. */
   readonly #attempts = new Map<string, Attempt>();
+  readonly #service: ServiceProcessingTimes;
   readonly #times: ProcessingTimeEstimator;
   #failureRate = 0;
   #ejectedUntil = 0;
@@ -61,6 +62,7 @@
     this.id = server.id;
     this.availabilityZone = server.availabilityZone;
     this.slots = server.slots;
+    this.#service = service;
     this.#times = new ProcessingTimeEstimator(service);
     this.#coldStart = new ColdStartLimit(server.coldStart);
     this.#pace = pace;
@@ -74,13 +76,13 @@
 
   /** Expected processing time of a request, without its time in the server's queue, in milliseconds. */
   expectedMilliseconds(now: number): number {
-    return this.#times.recentMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
+    return this.#times.recentMilliseconds * this.#warmupFactor(now);
   }
 
   /** Average processing time over the last requests; undefined before the first sample. */
   longTermProcessingTime(now: number): ProcessingTimeEstimate | undefined {
     const requestsPerSecond = this.requestsPerSecond(now);
-    const milliseconds = this.#times.longTermMilliseconds * (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1);
+    const milliseconds = this.#times.longTermMilliseconds * this.#warmupFactor(now);
     if (requestsPerSecond !== undefined) {
       // Keys are distributed by this time: a server that takes fewer requests counts as slower.
       return {
@@ -169,12 +171,8 @@
     this.#attempts.set(attemptId, { grantedAt: now, processingStartedAt: isQueued ? undefined : now });
   }
 
-  /**
-   * Ends an attempt.
-   * @param peerMilliseconds average processing time of the service.
-   * @returns its processing time in milliseconds, if the server started processing it.
-   */
-  end(attemptId: string, outcome: AttemptOutcome, now: number, peerMilliseconds: number): number | undefined {
+  /** Ends an attempt. @returns its processing time in milliseconds, if the server started processing it. */
+  end(attemptId: string, outcome: AttemptOutcome, now: number): number | undefined {
     const attempt = this.#attempts.get(attemptId);
     if (attempt === undefined) {
       return undefined;
@@ -182,7 +180,7 @@
     this.#attempts.delete(attemptId);
     const { grantedAt, processingStartedAt } = attempt;
     const milliseconds = processingStartedAt === undefined ? undefined : now - processingStartedAt;
-    this.#recordPace(attemptId, outcome, milliseconds, peerMilliseconds);
+    this.#recordPace(attemptId, outcome, milliseconds);
     this.#record(outcome, grantedAt, milliseconds, now);
     const nextQueued = [...this.#attempts.values()]
       .slice(0, this.slots)
@@ -200,7 +198,7 @@
         this.#lastResponseAt = now;
         this.#failureRate *= 1 - FAILURE_SMOOTHING;
         if (milliseconds !== undefined) {
-          this.#times.add(milliseconds / (this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1));
+          this.#times.add(milliseconds / this.#warmupFactor(now));
         }
         return;
       case 'failed':
@@ -226,15 +224,10 @@
     }
   }
 
-  #recordPace(
-    attemptId: string,
-    outcome: AttemptOutcome,
-    milliseconds: number | undefined,
-    peerMilliseconds: number,
-  ): void {
+  #recordPace(attemptId: string, outcome: AttemptOutcome, milliseconds: number | undefined): void {
     switch (outcome) {
       case 'answered':
-        this.#pace.recordAnswer(attemptId, milliseconds, peerMilliseconds);
+        this.#pace.recordAnswer(attemptId, milliseconds, this.#service.averageMilliseconds);
         return;
       case 'failed':
       case 'refused':
@@ -247,6 +240,10 @@
     }
   }
 
+  #warmupFactor(now: number): number {
+    return this.#coldStart.isCold(now) ? WARMUP_FACTOR : 1;
+  }
+
   #eject(now: number): void {
     if (now >= this.#ejectedUntil) {
       this.#ejectedUntil = now + this.#ejectionMilliseconds;
--- a/packages/dispatch/src/common/slotScheduler.ts
+++ b/packages/dispatch/src/common/slotScheduler.ts
@@ -157,7 +157,7 @@
       return [];
     }
     this.#grants.delete(slotRequestId);
-    const milliseconds = grant.server.end(slotRequestId, outcome, now, this.#times.averageMilliseconds);
+    const milliseconds = grant.server.end(slotRequestId, outcome, now);
     if (statements !== undefined) {
       grant.server.recordStatement(statements, now);
     }
@@ -183,7 +183,7 @@
     for (const [slotRequestId, grant] of this.#grants) {
       if (now > grant.expiresAt) {
         this.#grants.delete(slotRequestId);
-        grant.server.end(slotRequestId, 'cancelled', now, this.#times.averageMilliseconds);
+        grant.server.end(slotRequestId, 'cancelled', now);
       }
     }
     return this.#reviewQueues(now);
