State the bytes of MessagePack and the text of incarnations once

The check, the reader and the writer of MessagePack each had their own constants for the same first bytes, the writer partly as bare numbers; and the short way of slot messages converted incarnations with copies of the codec's patterns. Both have one place now. The properties that compare the short way with the general one over random and mutated datagrams pass unchanged.

--- a/packages/entryVm/src/common/frequentMessages.ts
+++ b/packages/entryVm/src/common/frequentMessages.ts
@@ -3,6 +3,9 @@
 import {
   BASIS_FIELDS,
   FINISH_USES,
+  INCARNATION_DIGITS,
+  incarnationNumber,
+  incarnationText,
   isRecord,
   MAX_MESSAGES_PER_DATAGRAM,
   MESSAGE_CODES,
@@ -15,9 +18,6 @@
 /** Elements of the array that is a datagram: format, identifier and incarnation of the sender, messages. */
 const DATAGRAM_LENGTH = 4;
 const LOAD_LENGTH = 4;
-const HEXADECIMAL = 16;
-const INCARNATION_DIGITS = 8;
-const INCARNATION_PATTERN = /^[0-9a-f]{8}$/;
 const NUMBER_PATTERN = /^[1-9]\d{0,14}$/;
 /** Incarnations and addresses that are kept in text form. */
 const KEPT_INCARNATIONS = 256;
@@ -267,7 +267,7 @@
     if (kept?.value === value) {
       return kept.text;
     }
-    const text = value.toString(HEXADECIMAL).padStart(INCARNATION_DIGITS, '0');
+    const text = incarnationText(value);
     this.#incarnations[slot] = { value, text };
     return text;
   }
@@ -442,11 +442,12 @@
     if (text === this.#incarnation) {
       return true;
     }
-    if (!INCARNATION_PATTERN.test(text)) {
+    const number = incarnationNumber(text);
+    if (number === undefined) {
       return false;
     }
     this.#incarnation = text;
-    this.#incarnationNumber = Number.parseInt(text, HEXADECIMAL);
+    this.#incarnationNumber = number;
     return true;
   }
 
--- a/packages/entryVm/src/common/messagePackCheck.ts
+++ b/packages/entryVm/src/common/messagePackCheck.ts
@@ -1,8 +1,4 @@
-const FIXED_MAP = 0x80;
-const FIXED_ARRAY = 0x90;
-const FIXED_TEXT = 0xa0;
-const NIL = 0xc0;
-const FIRST_NEGATIVE_FIXED = 0xe0;
+import { messagePackTypes as types } from './messagePackTypes.js';
 
 /** Bytes after the type byte of the values without a length, by type. */
 const FIXED_SIZES: ReadonlyMap<number, number> = new Map([
@@ -69,15 +65,15 @@
       const type = view.getUint8(offset);
       offset += 1;
       expected -= 1;
-      if (type < FIXED_MAP || type >= FIRST_NEGATIVE_FIXED) {
+      if (type < types.fixedMap || type >= types.negativeFixed) {
         continue;
       }
-      if (type < FIXED_ARRAY) {
-        expected += 2 * (type - FIXED_MAP);
-      } else if (type < FIXED_TEXT) {
-        expected += type - FIXED_ARRAY;
-      } else if (type < NIL) {
-        offset += type - FIXED_TEXT;
+      if (type < types.fixedArray) {
+        expected += 2 * (type - types.fixedMap);
+      } else if (type < types.fixedText) {
+        expected += type - types.fixedArray;
+      } else if (type < types.nil) {
+        offset += type - types.fixedText;
       } else {
         const container = CONTAINER_TYPES.get(type);
         const sized = SIZED_TYPES.get(type);
--- a/packages/entryVm/src/common/messagePackReader.ts
+++ b/packages/entryVm/src/common/messagePackReader.ts
@@ -1,17 +1,4 @@
-const NIL = 0xc0;
-const FIXED_MAP = 0x80;
-const FIXED_ARRAY = 0x90;
-const FIXED_TEXT = 0xa0;
-const FLOAT_64 = 0xcb;
-const UNSIGNED_8 = 0xcc;
-const UNSIGNED_16 = 0xcd;
-const UNSIGNED_32 = 0xce;
-const SIGNED_8 = 0xd0;
-const SIGNED_16 = 0xd1;
-const SIGNED_32 = 0xd2;
-const TEXT_8 = 0xd9;
-const FIRST_NEGATIVE_FIXED = 0xe0;
-const FIRST_NOT_ASCII = 0x80;
+import { FIRST_NOT_ASCII, MAX_FIXED_ELEMENTS, messagePackTypes as types } from './messagePackTypes.js';
 
 /** Texts that are kept. Deployments have hundreds of names of entry VMs and servers, and few services. */
 const KEPT_TEXTS = 1_024;
@@ -63,7 +50,7 @@
 
   /** Skips a nil. @returns whether there was one. */
   skipNil(): boolean {
-    if (this.#bytes[this.#offset] === NIL) {
+    if (this.#bytes[this.#offset] === types.nil) {
       this.#offset += 1;
       return true;
     }
@@ -72,46 +59,46 @@
 
   /** Whether the next value is a text. */
   get isAtText(): boolean {
-    const type = this.#bytes[this.#offset] ?? NIL;
-    return (type >= FIXED_TEXT && type < NIL) || type === TEXT_8;
+    const type = this.#bytes[this.#offset] ?? types.nil;
+    return (type >= types.fixedText && type < types.nil) || type === types.text8;
   }
 
   /** @returns the number of elements, which are the next values. */
   arrayLength(): number {
-    return this.#shortLength(FIXED_ARRAY);
+    return this.#shortLength(types.fixedArray);
   }
 
   /** @returns the number of keys; each is followed by its value. */
   mapSize(): number {
-    return this.#shortLength(FIXED_MAP);
+    return this.#shortLength(types.fixedMap);
   }
 
   /** Reads a finite number. */
   number(): number {
-    const type = this.#bytes[this.#offset] ?? NIL;
-    if (type < FIXED_MAP) {
+    const type = this.#bytes[this.#offset] ?? types.nil;
+    if (type < types.fixedMap) {
       this.#offset += 1;
       return type;
     }
-    if (type >= FIRST_NEGATIVE_FIXED) {
+    if (type >= types.negativeFixed) {
       this.#offset += 1;
       return type - 0x100;
     }
     const at = this.#offset + 1;
     switch (type) {
-      case UNSIGNED_8:
+      case types.unsigned8:
         return this.#take(1) ? this.#view.getUint8(at) : 0;
-      case UNSIGNED_16:
+      case types.unsigned16:
         return this.#take(2) ? this.#view.getUint16(at) : 0;
-      case UNSIGNED_32:
+      case types.unsigned32:
         return this.#take(4) ? this.#view.getUint32(at) : 0;
-      case SIGNED_8:
+      case types.signed8:
         return this.#take(1) ? this.#view.getInt8(at) : 0;
-      case SIGNED_16:
+      case types.signed16:
         return this.#take(2) ? this.#view.getInt16(at) : 0;
-      case SIGNED_32:
+      case types.signed32:
         return this.#take(4) ? this.#view.getInt32(at) : 0;
-      case FLOAT_64: {
+      case types.float64: {
         const value = this.#take(8) ? this.#view.getFloat64(at) : 0;
         this.expect(Number.isFinite(value));
         return value;
@@ -125,13 +112,13 @@
   /** Reads a text in ASCII. */
   text(): string {
     const bytes = this.#bytes;
-    const type = bytes[this.#offset] ?? NIL;
+    const type = bytes[this.#offset] ?? types.nil;
     let start = this.#offset + 1;
-    let length = type - FIXED_TEXT;
-    if (type === TEXT_8) {
+    let length = type - types.fixedText;
+    if (type === types.text8) {
       length = bytes[start] ?? bytes.length;
       start += 1;
-    } else if (type < FIXED_TEXT || type >= NIL) {
+    } else if (type < types.fixedText || type >= types.nil) {
       this.#isFailed = true;
       return '';
     }
@@ -180,9 +167,9 @@
 
   /** Length of an array or a map of at most 15 elements. */
   #shortLength(firstType: number): number {
-    const type = this.#bytes[this.#offset] ?? NIL;
+    const type = this.#bytes[this.#offset] ?? types.nil;
     this.#offset += 1;
-    if (type < firstType || type > firstType + 0x0f) {
+    if (type < firstType || type > firstType + MAX_FIXED_ELEMENTS) {
       this.#isFailed = true;
       return 0;
     }
--- a/packages/entryVm/src/common/messagePackWriter.ts
+++ b/packages/entryVm/src/common/messagePackWriter.ts
@@ -1,10 +1,11 @@
-const NIL = 0xc0;
-const FIXED_ARRAY = 0x90;
-const FIXED_TEXT = 0xa0;
-const MAX_FIXED_TEXT_LENGTH = 0x1f;
+import {
+  FIRST_NOT_ASCII,
+  MAX_FIXED_ELEMENTS,
+  MAX_FIXED_TEXT_BYTES,
+  messagePackTypes as types,
+} from './messagePackTypes.js';
+
 const MAX_TEXT_8_LENGTH = 0xff;
-const MAX_FIXED_ARRAY_LENGTH = 0x0f;
-const FIRST_NOT_ASCII = 0x80;
 
 /**
  * Writes MessagePack value by value, in the same form as the general encoder: texts in ASCII, numbers except integers of
@@ -46,7 +47,7 @@
 
   nil(): void {
     if (this.#hasRoom(1)) {
-      this.#bytes[this.#offset] = NIL;
+      this.#bytes[this.#offset] = types.nil;
       this.#offset += 1;
     }
   }
@@ -58,11 +59,11 @@
 
   /** Replaces the length of the array that begins at an offset. */
   setArrayLength(offset: number, length: number): void {
-    if (length > MAX_FIXED_ARRAY_LENGTH || offset >= this.#bytes.length) {
+    if (length > MAX_FIXED_ELEMENTS || offset >= this.#bytes.length) {
       this.#isFailed = true;
       return;
     }
-    this.#bytes[offset] = FIXED_ARRAY + length;
+    this.#bytes[offset] = types.fixedArray + length;
   }
 
   number(value: unknown): void {
@@ -73,21 +74,21 @@
     const bytes = this.#bytes;
     const at = this.#offset;
     if (!Number.isSafeInteger(value)) {
-      bytes[at] = 0xcb;
+      bytes[at] = types.float64;
       this.#offset = bytes.writeDoubleBE(value, at + 1);
     } else if (value >= 0) {
       if (value < 0x80) {
         bytes[at] = value;
         this.#offset = at + 1;
       } else if (value < 0x1_00) {
-        bytes[at] = 0xcc;
+        bytes[at] = types.unsigned8;
         bytes[at + 1] = value;
         this.#offset = at + 2;
       } else if (value < 0x1_0000) {
-        bytes[at] = 0xcd;
+        bytes[at] = types.unsigned16;
         this.#offset = bytes.writeUInt16BE(value, at + 1);
       } else if (value < 0x1_0000_0000) {
-        bytes[at] = 0xce;
+        bytes[at] = types.unsigned32;
         this.#offset = bytes.writeUInt32BE(value, at + 1);
       } else {
         this.#isFailed = true;
@@ -96,13 +97,13 @@
       bytes[at] = value + 0x1_00;
       this.#offset = at + 1;
     } else if (value >= -0x80) {
-      bytes[at] = 0xd0;
+      bytes[at] = types.signed8;
       this.#offset = bytes.writeInt8(value, at + 1);
     } else if (value >= -0x8000) {
-      bytes[at] = 0xd1;
+      bytes[at] = types.signed16;
       this.#offset = bytes.writeInt16BE(value, at + 1);
     } else if (value >= -0x8000_0000) {
-      bytes[at] = 0xd2;
+      bytes[at] = types.signed32;
       this.#offset = bytes.writeInt32BE(value, at + 1);
     } else {
       this.#isFailed = true;
@@ -121,11 +122,11 @@
     }
     const bytes = this.#bytes;
     let at = this.#offset;
-    if (length <= MAX_FIXED_TEXT_LENGTH) {
-      bytes[at] = FIXED_TEXT + length;
+    if (length <= MAX_FIXED_TEXT_BYTES) {
+      bytes[at] = types.fixedText + length;
       at += 1;
     } else {
-      bytes[at] = 0xd9;
+      bytes[at] = types.text8;
       bytes[at + 1] = length;
       at += 2;
     }
--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -17,7 +17,7 @@
 const COMPRESSION = { windowBits: 13, memLevel: 5 };
 
 const HEXADECIMAL = 16;
-const INCARNATION_DIGITS = 8;
+export const INCARNATION_DIGITS = 8;
 const INCARNATION_PATTERN = /^[0-9a-f]{8}$/;
 const SLOT_REQUEST_ID_PATTERN = /^([0-9a-f]{8}):([1-9]\d{0,14})$/;
 
@@ -84,15 +84,22 @@
   };
 }
 
+/** @returns the number of an incarnation's eight hexadecimal digits; undefined for another text. */
+export function incarnationNumber(text: string): number | undefined {
+  return INCARNATION_PATTERN.test(text) ? Number.parseInt(text, HEXADECIMAL) : undefined;
+}
+
+export function incarnationText(number: number): string {
+  return number.toString(HEXADECIMAL).padStart(INCARNATION_DIGITS, '0');
+}
+
 /** Writes eight hexadecimal digits as a number. */
 function encodeIncarnation(value: unknown): unknown {
-  return typeof value === 'string' && INCARNATION_PATTERN.test(value)
-    ? Number.parseInt(value, HEXADECIMAL)
-    : value;
+  return typeof value === 'string' ? (incarnationNumber(value) ?? value) : value;
 }
 
 function decodeIncarnation(value: unknown): unknown {
-  return typeof value === 'number' ? value.toString(HEXADECIMAL).padStart(INCARNATION_DIGITS, '0') : value;
+  return typeof value === 'number' ? incarnationText(value) : value;
 }
 
 /** Writes the identifier of a slot request, `INCARNATION:NUMBER`, as two numbers. */
