Search sorted numbers and keep series of metrics in one place each

The estimator of callers' waits had a second copy of the binary search that the key planner uses; both call one function of the base package. Counters, counters kept elsewhere and histograms each looked up or made their series by lines of their own, and stored the series again with each request. The comment of the datagram queue still said that the end of each request is sent twice. No behaviour changes; the tests of the parts pass as they are.

--- a/packages/entryVm/src/common/callerWaitEstimator.ts
+++ b/packages/entryVm/src/common/callerWaitEstimator.ts
@@ -1,3 +1,5 @@
+import { lowerBound } from '@hickoryhoist/base/common/sortedNumbers.js';
+
 /** Number of recent requests of a route on which the estimate is based. */
 const SAMPLES = 64;
 /** Number of requests below which the spread of the timeouts is not known. */
@@ -28,33 +30,18 @@
   add(timeoutMilliseconds: number): void {
     if (this.#inOrder.length >= SAMPLES) {
       const oldest = this.#inOrder.shift() ?? 0;
-      this.#sorted.splice(this.#indexOf(oldest), 1);
+      this.#sorted.splice(lowerBound(this.#sorted, oldest), 1);
     }
     this.#inOrder.push(timeoutMilliseconds);
-    this.#sorted.splice(this.#indexOf(timeoutMilliseconds), 0, timeoutMilliseconds);
-  }
-
-  /** Index of the first timeout that is not shorter. */
-  #indexOf(timeoutMilliseconds: number): number {
-    let from = 0;
-    let to = this.#sorted.length;
-    while (from < to) {
-      const middle = (from + to) >> 1;
-      if ((this.#sorted[middle] ?? 0) < timeoutMilliseconds) {
-        from = middle + 1;
-      } else {
-        to = middle;
-      }
-    }
-    return from;
+    this.#sorted.splice(lowerBound(this.#sorted, timeoutMilliseconds), 0, timeoutMilliseconds);
   }
 }
 
 /**
  * Estimates how long a caller has waited before it sent this attempt. A caller that was refused returns with what is
  * left of its timeout, and its latency goal counts from its first attempt. Load pattern: refused callers return among
- * new ones, whose timeouts are similar but not equal; each request moves one timeout within a sorted list. New callers must not be taken for returning ones, since they
- * would be refused although they can still be served within their goal.
+ * new ones, whose timeouts are similar but not equal; each request moves one timeout within a sorted list. New callers
+ * must not be taken for returning ones, since they would be refused although they can still be served within their goal.
  */
 export class CallerWaitEstimator {
   readonly #timeoutsByRoute = new Map<string, RecentTimeouts>();
--- a/packages/entryVm/src/common/datagramQueue.ts
+++ b/packages/entryVm/src/common/datagramQueue.ts
@@ -19,8 +19,9 @@
 
 /**
  * The messages to other entry VMs that wait for the end of an event loop iteration, and the duplicates that wait for
- * another datagram to the same one. Load pattern: each request ends with a message to its coordinator, which is sent
- * twice; with many entry VMs, each pair of them has few messages to share a datagram. Messages keep their order.
+ * another datagram to the same one. Load pattern: attempts fail at many entry VMs, and the message that ends each goes
+ * twice to its coordinator; with many entry VMs, each pair of them has few messages to share a datagram. Messages keep
+ * their order.
  */
 export class DatagramQueue {
   readonly #messages = new Map<string, EncodedMessage[]>();
--- a/packages/entryVm/src/common/entryVmMetrics.ts
+++ b/packages/entryVm/src/common/entryVmMetrics.ts
@@ -14,15 +14,13 @@
   readonly #gaugesByLabel = new Map<string, { label: string; read: () => ReadonlyMap<string, number> }>();
 
   count(name: string, labels: MetricLabels = {}, increment = 1): void {
-    const series = this.#counters.get(name) ?? new Map<string, number>();
-    this.#counters.set(name, series);
+    const series = seriesOf(this.#counters, name);
     const key = formatLabels(labels);
     series.set(key, (series.get(key) ?? 0) + increment);
   }
 
   recordMilliseconds(name: string, labels: MetricLabels, milliseconds: number): void {
-    const series = this.#histograms.get(name) ?? new Map<string, Histogram>();
-    this.#histograms.set(name, series);
+    const series = seriesOf(this.#histograms, name);
     const key = formatLabels(labels);
     const histogram =
       series.get(key) ??
@@ -37,9 +35,7 @@
 
   /** Sets a counter that is kept elsewhere. */
   setCounter(name: string, labels: MetricLabels, value: number): void {
-    const series = this.#counters.get(name) ?? new Map<string, number>();
-    this.#counters.set(name, series);
-    series.set(formatLabels(labels), value);
+    seriesOf(this.#counters, name).set(formatLabels(labels), value);
   }
 
   /** @param read called whenever the metrics are rendered. */
@@ -84,6 +80,16 @@
   }
 }
 
+/** Values of a metric by their labels. */
+function seriesOf<Value>(metrics: Map<string, Map<string, Value>>, name: string): Map<string, Value> {
+  let series = metrics.get(name);
+  if (series === undefined) {
+    series = new Map();
+    metrics.set(name, series);
+  }
+  return series;
+}
+
 function formatLabels(labels: MetricLabels): string {
   let text = '';
   for (const name of Object.keys(labels)) {
--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -1,6 +1,6 @@
-import { compareText } from '@hickoryhoist/base/common/compareText.js';
 import * as z from 'zod';
 import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
+import { compareText } from '@hickoryhoist/base/common/compareText.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
--- a/packages/keyOwnership/src/common/keyPlanner.ts
+++ b/packages/keyOwnership/src/common/keyPlanner.ts
@@ -1,5 +1,6 @@
+import { lowerBound } from '@hickoryhoist/base/common/sortedNumbers.js';
 import { findUnownedRanges, LAST_KEY, type OwnedRange } from './keyAssignment.js';
-import { keysIn, lowerBound } from './sortedKeys.js';
+import { keysIn } from './sortedKeys.js';
 
 /** A server that can receive keys. */
 export interface CandidateServer {
