Move the results of requests and the page of the configuration out of the wiring

What records the result of a request in metrics and log, and what renders the configuration in force for operators, are modules of their own now.

--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -11,10 +11,7 @@
 import { RetryBudget } from '@hickoryhoist/dispatch/common/retryBudget.js';
 import { ServerConnectionPool } from '@hickoryhoist/dispatch/node/serverConnectionPool.js';
 import { CONTROL_TABLE, isAssignmentRowKey } from '@hickoryhoist/keyownership/common/assignmentStore.js';
-import {
-  CONFIGURATION_PATH,
-  type ConfigurationInForce,
-} from '@hickoryhoist/routing/common/configurationInForce.js';
+import { CONFIGURATION_PATH } from '@hickoryhoist/routing/common/configurationInForce.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
 import { observeRowStore } from '@hickoryhoist/store/common/observedRowStore.js';
@@ -42,11 +39,13 @@
 import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
 import { storeCallCause } from '../common/storeCallCause.js';
 import { ZoneEvacuations } from '../common/zoneEvacuations.js';
-import { CallerServer, type CompletedRequest } from './callerServer.js';
+import { CallerServer } from './callerServer.js';
+import { CompletionRecorder } from './completionRecorder.js';
+import { renderConfigurationInForce } from './configurationPage.js';
 import { shutDownGracefully } from './gracefulShutdown.js';
 import { PeerSocket } from './peerSocket.js';
 import { TableExchange } from './tableExchange.js';
-import { type TextResponse, TextServer } from './textServer.js';
+import { TextServer } from './textServer.js';
 
 /**
  * Duration of a long poll of the control table's feed. A dead connection is noticed only when the poll ends, or by the
@@ -265,13 +264,14 @@
     const memory = new MemoryBudget(settings.maxHeldBodyBytes);
     this.metrics.gauge('hickoryhoist_held_body_bytes', () => memory.usedBytes);
     this.metrics.gauge('hickoryhoist_held_body_bytes_limit', () => memory.maxBytes);
+    const recorder = new CompletionRecorder(this.metrics, this.#keyOwnership.owners, logger);
     this.#callerServer = this.register(
       new CallerServer({
         protocol: binding.callerProtocol,
         routes: () => this.#routes,
         dispatch: (request) => this.#dispatch(dispatcher, request),
         onDidComplete: (completed) => {
-          this.#recordCompletion(completed);
+          recorder.record(completed);
         },
         memory,
         logger,
@@ -289,7 +289,10 @@
         path === '/metrics'
           ? { status: 200, text: this.#renderMetrics() }
           : path === CONFIGURATION_PATH
-            ? this.#renderConfiguration()
+            ? renderConfigurationInForce(
+                this.#configurationDocument,
+                this.#serverRows.isLoaded ? this.#serverRegistry.servers.values() : undefined,
+              )
             : undefined,
       ),
     );
@@ -481,23 +484,6 @@
     }
   }
 
-  #renderConfiguration(): TextResponse {
-    if (this.#configurationDocument === undefined) {
-      return { status: 503, text: 'no configuration is in force\n' };
-    }
-    const counts = new Map<string, number>();
-    for (const { service, phase } of this.#serverRegistry.servers.values()) {
-      counts.set(service, (counts.get(service) ?? 0) + (phase === 'ready' ? 1 : 0));
-    }
-    const inForce: ConfigurationInForce = {
-      document: this.#configurationDocument,
-      ...(this.#serverRows.isLoaded
-        ? { servers: [...counts].map(([service, count]) => ({ service, count })) }
-        : {}),
-    };
-    return { status: 200, text: `${JSON.stringify(inForce)}\n` };
-  }
-
   /** Passes the servers of each service that accept requests to the slot schedulers. */
   #updateSlotServers(): void {
     for (const [service, { coldStart }] of this.#services()) {
@@ -531,37 +517,4 @@
     }
     return outcome;
   }
-
-  #recordCompletion(completed: CompletedRequest): void {
-    const outcome = completed.outcome?.kind ?? 'rejected';
-    const reason =
-      completed.outcome === undefined || completed.outcome.kind === 'answered'
-        ? undefined
-        : completed.outcome.reason;
-    const service = completed.match?.service.name ?? '';
-    const kind = completed.match?.route.kind ?? '';
-    this.metrics.count('hickoryhoist_requests_total', { service, kind, outcome, reason: reason ?? '' });
-    this.metrics.recordMilliseconds(
-      'hickoryhoist_request_milliseconds',
-      { service, outcome },
-      completed.milliseconds,
-    );
-    this.#logger.log('info', 'request-ended', {
-      request: completed.id,
-      service,
-      route: completed.match?.route.name,
-      revision: completed.revision,
-      key: completed.key,
-      assignment:
-        completed.key === undefined
-          ? undefined
-          : this.#keyOwnership.owners.assignmentOf(service)?.assignment.revision,
-      server: completed.outcome?.kind === 'answered' ? completed.outcome.serverId : undefined,
-      status: completed.status,
-      outcome,
-      reason,
-      milliseconds: Math.round(completed.milliseconds),
-      goal: Math.round(completed.goalMilliseconds),
-    });
-  }
 }
