Share the requests, servers and callers' ports of tests

Seven tests of the scheduler built the same slot request and the same server by lines of their own, and two tests of the server for callers the same routes, protocol and start. Each has one builder under the tests' fakes; what a test needs to differ stays with it. All assertions are as they were.

--- a/packages/dispatch/src/common/test/coldStartLimit.test.ts
+++ b/packages/dispatch/src/common/test/coldStartLimit.test.ts
@@ -4,26 +4,18 @@
 import { coldStartBudget, ColdStartLimit } from '../coldStartLimit.js';
 import type { SlotRequest } from '../slotRequest.js';
 import { type SchedulableServer, type SlotDecision, SlotScheduler } from '../slotScheduler.js';
+import { schedulableServer, slotRequest } from './fakes/slotRequests.js';
 
 const bound = { factor: 1.5, slack: 8 };
 const WARMUP_MILLISECONDS = 3_000;
 
 function createServer(id: string, requestsPerSecond: number, warmupMilliseconds: number): SchedulableServer {
   const coldStart = coldStartBudget(requestsPerSecond, bound);
-  return { id, incarnation: 1, availabilityZone: 'zone-1', slots: 6, warmupMilliseconds, coldStart };
+  return schedulableServer(id, { slots: 6, warmupMilliseconds, coldStart });
 }
 
 function createRequest(id: string, now: number, serverId: string | undefined): SlotRequest {
-  return {
-    id,
-    serverId,
-    excludedIds: [],
-    availabilityZone: 'zone-1',
-    rank: 1,
-    bodyBytes: 0,
-    goalAt: now + 1_000,
-    deadlineAt: now + 6_000,
-  };
+  return slotRequest(id, { serverId, goalAt: now + 1_000, deadlineAt: now + 6_000 });
 }
 
 /** Largest number of times within any second. */
--- a/packages/dispatch/src/common/test/keyFairness.test.ts
+++ b/packages/dispatch/src/common/test/keyFairness.test.ts
@@ -2,8 +2,8 @@
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { KeyDemand } from '../keyDemand.js';
-import type { SlotRequest } from '../slotRequest.js';
 import { type SlotDecision, SlotScheduler } from '../slotScheduler.js';
+import { schedulableServer, slotRequest } from './fakes/slotRequests.js';
 
 const SLOTS = 4;
 const WORK_MILLISECONDS = 100;
@@ -29,10 +29,7 @@
 function replaySurge(seed: number, isKeySent: boolean): { hot: Tally; others: Tally } {
   const random = new RandomSource(seed);
   const scheduler = new SlotScheduler();
-  scheduler.setServers(
-    [{ id: 'owner', incarnation: 1, availabilityZone: 'zone-1', slots: SLOTS, warmupMilliseconds: 0 }],
-    0,
-  );
+  scheduler.setServers([schedulableServer('owner', { slots: SLOTS })], 0);
   const hot: Tally = { offered: 0, inTime: 0, served: 0, refused: 0 };
   const others: Tally = { offered: 0, inTime: 0, served: 0, refused: 0 };
   const requests = new Map<string, { tally: Tally; goalAt: number }>();
@@ -49,17 +46,12 @@
   };
   const submit = (key: number, tally: Tally, now: number): void => {
     const goalAt = now + GOAL_MILLISECONDS;
-    const request: SlotRequest = {
-      id: requests.size.toString(),
+    const request = slotRequest(requests.size.toString(), {
       serverId: 'owner',
       key: isKeySent ? key : undefined,
-      excludedIds: [],
-      availabilityZone: 'zone-1',
-      rank: 1,
-      bodyBytes: 0,
       goalAt,
       deadlineAt: now + DEADLINE_MILLISECONDS,
-    };
+    });
     tally.offered += 1;
     requests.set(request.id, { tally, goalAt });
     apply(scheduler.submit(request, now));
--- a/packages/dispatch/src/common/test/serverLimit.test.ts
+++ b/packages/dispatch/src/common/test/serverLimit.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { SlotRequest } from '../slotRequest.js';
 import { type SchedulableServer, type SlotDecision, SlotScheduler } from '../slotScheduler.js';
+import { slotRequest } from './fakes/slotRequests.js';
 
 /** The users' rule: in any 4 s at most one and a half times what the limit allows, and 5 more. */
 const WINDOW_MILLISECONDS = 4_000;
@@ -34,16 +35,11 @@
 
 /** A request with 600 ms to its goal and 2,500 ms to its deadline. */
 function createRequest(id: string, now: number, isKeyed = true): SlotRequest {
-  return {
-    id,
+  return slotRequest(id, {
     serverId: isKeyed ? server.id : undefined,
-    excludedIds: [],
-    availabilityZone: 'zone-1',
-    rank: 1,
-    bodyBytes: 0,
     goalAt: now + 600,
     deadlineAt: now + 2_500,
-  };
+  });
 }
 
 /** Plays callers that press on a server with a limit. @returns the times at which it got requests. */
--- a/packages/dispatch/src/common/test/serverPace.test.ts
+++ b/packages/dispatch/src/common/test/serverPace.test.ts
@@ -2,13 +2,13 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { type PaceChange, ServerPace } from '../serverPace.js';
-import type { SlotRequest } from '../slotRequest.js';
 import {
   type SchedulableServer,
   type ServerPaceChange,
   type SlotDecision,
   SlotScheduler,
 } from '../slotScheduler.js';
+import { slotRequest } from './fakes/slotRequests.js';
 
 const PEER_MILLISECONDS = 100;
 /** Longest time for which a server has nothing in flight while callers wait, with a step of the replay and a tick. */
@@ -81,16 +81,11 @@
       }
     }
     for (; nextAt <= now; nextAt += arrivalMilliseconds) {
-      const request: SlotRequest = {
-        id: nextAt.toString(),
+      const request = slotRequest(nextAt.toString(), {
         serverId: keyedTo,
-        excludedIds: [],
-        availabilityZone: 'zone-1',
-        rank: 1,
-        bodyBytes: 0,
         goalAt: now + 1_000,
         deadlineAt: now + 3_000,
-      };
+      });
       apply(scheduler.submit(request, now), now);
     }
     if (now % 50 === 0) {
--- a/packages/dispatch/src/common/test/serverPlacement.test.ts
+++ b/packages/dispatch/src/common/test/serverPlacement.test.ts
@@ -6,6 +6,7 @@
 import { ServiceProcessingTimes } from '../serviceProcessingTimes.js';
 import { SlotScheduler } from '../slotScheduler.js';
 import type { SlotRequest } from '../slotRequest.js';
+import { schedulableServer, slotRequest } from './fakes/slotRequests.js';
 
 const ZONES = ['zone-1', 'zone-2', 'zone-3'];
 const SLOTS = 6;
@@ -17,39 +18,24 @@
   const scheduler = new SlotScheduler();
   scheduler.setServers(
     zones.flatMap((availabilityZone) =>
-      Array.from({ length: SERVERS_PER_ZONE }, (_, index) => ({
-        id: `${availabilityZone}/${index.toString()}`,
-        incarnation: 1,
-        availabilityZone,
-        slots: SLOTS,
-        warmupMilliseconds: 0,
-      })),
+      Array.from({ length: SERVERS_PER_ZONE }, (_, index) =>
+        schedulableServer(`${availabilityZone}/${index.toString()}`, { availabilityZone, slots: SLOTS }),
+      ),
     ),
     0,
   );
   return scheduler;
 }
 
-function slotRequest(id: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
-  return {
-    id,
-    serverId: undefined,
-    excludedIds: [],
-    availabilityZone: 'zone-1',
-    rank: 1,
-    bodyBytes: 0,
-    responseBytes: 5_000,
-    goalAt: 2_000,
-    deadlineAt: 8_000,
-    ...overrides,
-  };
+function pooledRequest(id: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
+  return slotRequest(id, { responseBytes: 5_000, goalAt: 2_000, deadlineAt: 8_000, ...overrides });
 }
 
 /** Submits a number of requests. @returns the server of each, or how it was decided. */
 function submitAll(scheduler: SlotScheduler, count: number, overrides: Partial<SlotRequest> = {}): string[] {
   return Array.from({ length: count }, (_, index) => {
     const id = `${overrides.id ?? 'r'}-${index.toString()}`;
-    const [decision] = scheduler.submit(slotRequest('', { ...overrides, id }), 0);
+    const [decision] = scheduler.submit(pooledRequest('', { ...overrides, id }), 0);
     return decision?.kind === 'granted' ? decision.serverId : (decision?.kind ?? 'queued');
   });
 }
@@ -90,7 +76,7 @@
   it('cross when the servers of their zone would miss the goal', () => {
     const statisticsOf = (id: string, availabilityZone: string, milliseconds: number): ServerStatistics =>
       new ServerStatistics(
-        { id, incarnation: 1, availabilityZone, slots: SLOTS, warmupMilliseconds: 0 },
+        schedulableServer(id, { availabilityZone, slots: SLOTS }),
         new ServiceProcessingTimes(milliseconds),
         0,
         new ServerPace(SLOTS, () => undefined),
@@ -98,7 +84,7 @@
     const near = statisticsOf('near', 'zone-1', 200);
     const far = statisticsOf('far', 'zone-2', 100);
     const costs = (goalAt: number): readonly number[] =>
-      [near, far].map((server) => placementCost(slotRequest('r', { goalAt }), server, 0));
+      [near, far].map((server) => placementCost(pooledRequest('r', { goalAt }), server, 0));
     const [nearWithTime = 0, farWithTime = 0] = costs(1_000);
     assert.ok(nearWithTime < farWithTime);
     const [nearInHaste = 0, farInHaste = 0] = costs(300);
--- a/packages/dispatch/src/common/test/slotQueue.test.ts
+++ b/packages/dispatch/src/common/test/slotQueue.test.ts
@@ -4,20 +4,12 @@
 import type { KeyShare } from '../keyDemand.js';
 import { type QueuePosition, SlotQueue } from '../slotQueue.js';
 import type { SlotRequest } from '../slotRequest.js';
+import { slotRequest } from './fakes/slotRequests.js';
 
 const SEED = 20261204;
 
-function slotRequest(id: string, rank: number, goalAt: number): SlotRequest {
-  return {
-    id,
-    serverId: undefined,
-    excludedIds: [],
-    availabilityZone: 'zone-1',
-    rank,
-    bodyBytes: 0,
-    goalAt,
-    deadlineAt: goalAt + 1_000,
-  };
+function createRequest(id: string, rank: number, goalAt: number): SlotRequest {
+  return slotRequest(id, { rank, goalAt, deadlineAt: goalAt + 1_000 });
 }
 
 type Step =
@@ -47,8 +39,8 @@
 describe('a queue of slot requests', () => {
   it('contains a request once, also if it is added again', () => {
     const queue = new SlotQueue();
-    queue.add(slotRequest('a', 1, 100), 0);
-    queue.add(slotRequest('a', 1, 200), 0);
+    queue.add(createRequest('a', 1, 100), 0);
+    queue.add(createRequest('a', 1, 200), 0);
     assert.equal(
       queue.inOrder(0).map(({ goalAt }) => goalAt),
       [200],
@@ -69,7 +61,7 @@
         steps.forEach((change, index) => {
           switch (change.kind) {
             case 'add': {
-              const request = slotRequest(index.toString(), change.rank, now + change.goal);
+              const request = createRequest(index.toString(), change.rank, now + change.goal);
               const position = { share: change.share, startBy: request.goalAt - change.margin };
               queue.add(request, now, position);
               positions.set(request.id, position);
@@ -98,7 +90,7 @@
                 : previous.rank < request.rank,
             );
           });
-          const probe = slotRequest('probe', 1, now + 100);
+          const probe = createRequest('probe', 1, now + 100);
           for (const share of ['within', 'above'] as const) {
             const position = { share, startBy: probe.goalAt };
             const ahead = ordered.filter(
--- a/packages/dispatch/src/common/test/slotScheduler.test.ts
+++ b/packages/dispatch/src/common/test/slotScheduler.test.ts
@@ -2,27 +2,14 @@
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { SlotRequest } from '../slotRequest.js';
 import { type SchedulableServer, SlotScheduler } from '../slotScheduler.js';
+import { schedulableServer, slotRequest } from './fakes/slotRequests.js';
 
 /** Slots of each server; one more request is sent beyond them. */
 const SLOTS = 2;
 const CAPACITY = SLOTS + 1;
 
 function createServer(id: string, availabilityZone = 'zone-1'): SchedulableServer {
-  return { id, incarnation: 1, availabilityZone, slots: SLOTS, warmupMilliseconds: 0 };
-}
-
-function slotRequest(id: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
-  return {
-    id,
-    serverId: undefined,
-    excludedIds: [],
-    availabilityZone: 'zone-1',
-    rank: 1,
-    bodyBytes: 0,
-    goalAt: 1_000,
-    deadlineAt: 3_000,
-    ...overrides,
-  };
+  return schedulableServer(id, { availabilityZone, slots: SLOTS });
 }
 
 function createScheduler(...servers: readonly SchedulableServer[]): SlotScheduler {
--- a/packages/dispatch/src/common/test/statedLoadEstimate.test.ts
+++ b/packages/dispatch/src/common/test/statedLoadEstimate.test.ts
@@ -1,27 +1,15 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { SlotRequest } from '../slotRequest.js';
-import { type SchedulableServer, SlotScheduler } from '../slotScheduler.js';
+import { SlotScheduler } from '../slotScheduler.js';
 import type { StatedLoad } from '../serverStatements.js';
 import { StatedLoadEstimate } from '../statedLoadEstimate.js';
+import { schedulableServer, slotRequest } from './fakes/slotRequests.js';
 
 const idle: StatedLoad = { running: 0, waiting: 0, slots: 6, workFactor: 1 };
 
-function createServer(id: string): SchedulableServer {
-  return { id, incarnation: 1, availabilityZone: 'zone-1', slots: 6, warmupMilliseconds: 0 };
-}
-
 function createRequest(id: string, serverId?: string): SlotRequest {
-  return {
-    id,
-    serverId,
-    excludedIds: [],
-    availabilityZone: 'zone-1',
-    rank: 1,
-    bodyBytes: 0,
-    goalAt: 10_000,
-    deadlineAt: 10_000,
-  };
+  return slotRequest(id, { serverId, goalAt: 10_000, deadlineAt: 10_000 });
 }
 
 describe('the load that servers state', () => {
@@ -48,7 +36,10 @@
 
   it('sends the next request elsewhere, and moves no keys', () => {
     const scheduler = new SlotScheduler();
-    scheduler.setServers([createServer('a'), createServer('b')], 0);
+    scheduler.setServers(
+      ['a', 'b'].map((id) => schedulableServer(id, { slots: 6 })),
+      0,
+    );
     const choose = (id: string, now: number): string | undefined => {
       const [decision] = scheduler.submit(createRequest(id), now);
       scheduler.finish(id, 'cancelled', now);
--- a/packages/entryVm/src/node/test/callerServer.test.ts
+++ b/packages/entryVm/src/node/test/callerServer.test.ts
@@ -1,64 +1,31 @@
 import { connect } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import * as assert from 'uvu/assert';
-import { MemoryBudget } from '@hickoryhoist/connection/common/memoryBudget.js';
 import type { CallerRequest } from '@hickoryhoist/dispatch/common/callerRequest.js';
-import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
-import { findFreePort } from '@hickoryhoist/standIns/node/freePort.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { CallerServer } from '../callerServer.js';
+import { singleRoute, startCallerServer } from './fakes/callerServerRig.js';
 
 const BLOCK_MILLISECONDS = 60;
 const CALLERS = 12;
 
-const routes = new RouteTable({
-  revision: 1,
-  routes: [
-    {
-      name: 'loans',
-      host: 'library.example',
-      pathPrefix: '/loans/',
-      kind: 'at-most-once',
-      timeoutMilliseconds: 1_000,
-      goalMilliseconds: 500,
-      rank: 0,
-      maxAttempts: 1,
-      services: [{ service: 'circulation', weight: 1 }],
-    },
-  ],
-  services: new Map([['circulation', { name: 'circulation', kind: 'pooled', connectionsPerServer: 10 }]]),
-  limits: {
-    maxHeaderBytes: 8_192,
-    maxBodyBytes: 100_000,
-    headerTimeoutMilliseconds: 1_000,
-    idleTimeoutMilliseconds: 5_000,
-  },
-});
+const routes = singleRoute(
+  { name: 'loans', pathPrefix: '/loans/', timeoutMilliseconds: 1_000 },
+  'circulation',
+  100_000,
+);
 
 async function withServer(
   body: (port: number, dispatched: readonly CallerRequest[]) => Promise<void>,
 ): Promise<void> {
   const dispatched: CallerRequest[] = [];
-  const server = new CallerServer({
-    protocol: {
-      requestIdHeader: 'x-id',
-      timeoutHeader: 'x-timeout',
-      keyHeader: 'x-key',
-      strippedHeaders: [],
-      readinessPath: '/ready',
-    },
+  const { server, port } = await startCallerServer({
     routes: () => routes,
     dispatch: (request) => {
       dispatched.push(request);
       const body = Buffer.from('done');
       return Promise.resolve({ kind: 'answered', serverId: 'server-1', status: 200, headers: {}, body });
     },
-    onDidComplete: () => undefined,
-    memory: new MemoryBudget(Number.POSITIVE_INFINITY),
-    logger: { log: () => undefined },
   });
-  const port = await findFreePort();
-  await server.listen(`127.0.0.1:${port.toString()}`);
   try {
     await body(port, dispatched);
   } finally {
--- a/packages/entryVm/src/node/test/heldBodies.test.ts
+++ b/packages/entryVm/src/node/test/heldBodies.test.ts
@@ -4,38 +4,18 @@
 import type { LogFields } from '@hickoryhoist/base/common/logger.js';
 import { MemoryBudget } from '@hickoryhoist/connection/common/memoryBudget.js';
 import type { RequestOutcome } from '@hickoryhoist/dispatch/common/callerRequest.js';
-import { RouteTable } from '@hickoryhoist/routing/common/routeTable.js';
-import { findFreePort } from '@hickoryhoist/standIns/node/freePort.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
-import { CallerServer } from '../callerServer.js';
+import { singleRoute, startCallerServer } from './fakes/callerServerRig.js';
 
 const MEGABYTE = 1_000_000;
 const TIMEOUT_MILLISECONDS = 600;
 const STALLED_READER_MILLISECONDS = 800;
 
-const routes = new RouteTable({
-  revision: 1,
-  routes: [
-    {
-      name: 'uploads',
-      host: 'library.example',
-      pathPrefix: '/',
-      kind: 'at-most-once',
-      timeoutMilliseconds: TIMEOUT_MILLISECONDS,
-      goalMilliseconds: 500,
-      rank: 0,
-      maxAttempts: 1,
-      services: [{ service: 'archive', weight: 1 }],
-    },
-  ],
-  services: new Map([['archive', { name: 'archive', kind: 'pooled', connectionsPerServer: 10 }]]),
-  limits: {
-    maxHeaderBytes: 8_192,
-    maxBodyBytes: 64 * MEGABYTE,
-    headerTimeoutMilliseconds: 1_000,
-    idleTimeoutMilliseconds: 5_000,
-  },
-});
+const routes = singleRoute(
+  { name: 'uploads', pathPrefix: '/', timeoutMilliseconds: TIMEOUT_MILLISECONDS },
+  'archive',
+  64 * MEGABYTE,
+);
 
 interface TestServer {
   readonly memory: MemoryBudget;
@@ -52,20 +32,12 @@
   const dispatchedIds: string[] = [];
   const logged: { event: string; fields: LogFields }[] = [];
   const memory = new MemoryBudget(maxBytes);
-  const server = new CallerServer({
-    protocol: {
-      requestIdHeader: 'x-id',
-      timeoutHeader: 'x-timeout',
-      keyHeader: 'x-key',
-      strippedHeaders: [],
-      readinessPath: '/ready',
-    },
+  const { server, port } = await startCallerServer({
     routes: () => routes,
     dispatch: async ({ id }): Promise<RequestOutcome> => {
       dispatchedIds.push(id);
       return { kind: 'answered', serverId: 'server-1', status: 200, headers: {}, body: await respond() };
     },
-    onDidComplete: () => undefined,
     memory,
     stalledReaderMilliseconds: STALLED_READER_MILLISECONDS,
     logger: {
@@ -74,8 +46,6 @@
       },
     },
   });
-  const port = await findFreePort();
-  await server.listen(`127.0.0.1:${port.toString()}`);
   const sockets: Socket[] = [];
   const open = (): Socket => {
     const socket = connect({ port, host: '127.0.0.1' });
