Break connections in emulated partitions, so that a test notices a lost expiry

Cause: the emulated partition left each grant in doubt. A real partition breaks the kept connection: the first command on it is in doubt, and the next ones find no connection, so that they are known not to have been sent and keep nothing.

Ruled out: a change of the code that makes the expiry needless.

Emulated partitions now behave like that.

--- a/packages/standIns/src/common/emulator/keyedServers.ts
+++ b/packages/standIns/src/common/emulator/keyedServers.ts
@@ -102,6 +102,8 @@
   readonly servers = new Map<string, KeyedServer>();
   /** Network partitions, as `sender serverId`: commands of this sender don't reach this server. */
   readonly partitions = new Set<string>();
+  /** Senders, each with a server, whose kept connection a network partition has broken. */
+  readonly #brokenConnections = new Set<string>();
   grantCount = 0;
 
   add(id: string): KeyedServer {
@@ -118,10 +120,14 @@
   /** Creates a client for one sender, which is subject to that sender's network partitions. */
   clientFor(sender: string): KeyGrantClient {
     return {
-      grant: (target, grant, timeout, mayStillSend) =>
-        this.partitions.has(`${sender} ${target.serverId}`)
-          ? this.#waitForTimeout(timeout)
-          : this.grant(target, grant, timeout, mayStillSend),
+      grant: (target, grant, timeout, mayStillSend) => {
+        const pair = `${sender} ${target.serverId}`;
+        if (this.partitions.has(pair)) {
+          return this.#grantAcrossPartition(pair, timeout);
+        }
+        this.#brokenConnections.delete(pair);
+        return this.grant(target, grant, timeout, mayStillSend);
+      },
       release: async (target, release, timeout) => {
         if (this.partitions.has(`${sender} ${target.serverId}`)) {
           await delay(timeout);
@@ -187,6 +193,16 @@
     return { kind: 'released', handover: `handover-${serverId}` };
   }
 
+  /** The first command is written to the kept connection; those after it find no connection. */
+  async #grantAcrossPartition(pair: string, timeoutMilliseconds: number): Promise<GrantResult> {
+    if (this.#brokenConnections.has(pair)) {
+      await delay(timeoutMilliseconds);
+      return { kind: 'not-sent', reason: 'no connection before the timeout' };
+    }
+    this.#brokenConnections.add(pair);
+    return this.#waitForTimeout(timeoutMilliseconds);
+  }
+
   async #waitForTimeout(timeoutMilliseconds: number): Promise<GrantResult> {
     await delay(timeoutMilliseconds);
     return { kind: 'in-doubt', reason: 'no response in time' };
