Remember requests that crash servers beyond restarts, lost messages and splits

Servers that fail with many requests in flight fill the table, and a request that crashes servers after that was never refused: 10 crashes of 10 visits. - An entry VM that missed a response went on refusing a popular request for two minutes. - A message named all losses that were due; one with more than about a thousand does not fit into a datagram.

Now an entry VM that refuses a request repeats what it knows, at most once a second for a request, and one that hears from a process for the first time tells it at once. A response is remembered, so that a repetition by one that missed it is answered instead of believed. The fingerprint names the host instead of the service. The oldest suspect that is not refused makes room. Messages have at most 50 entries of a kind. Entry VMs of the version before ignore repetitions.

Ruled out: keeping a refusal alive for as long as the request comes. A harmless one that is refused cannot get the response that would clear it, so the two minutes from its first loss remain.

--- a/packages/dispatch/src/common/test/crashingRequestDetector.test.ts
+++ b/packages/dispatch/src/common/test/crashingRequestDetector.test.ts
@@ -10,24 +10,41 @@
 /** Crashes until a request must be known everywhere, by the users' rule. */
 const MAX_CRASHES = 3;
 
-function requestTo(target: string): CallerRequest {
-  return { service: 'catalogue', method: 'POST', target, body: Buffer.alloc(0) } as unknown as CallerRequest;
+/** Requests that are in flight at servers that fail together. */
+const REQUESTS_IN_FLIGHT = 1_500;
+
+function requestTo(target: string, service = 'catalogue'): CallerRequest {
+  const request = { host: 'library.example', service, method: 'POST', target, body: Buffer.alloc(0) };
+  return request as unknown as CallerRequest;
 }
 
 /** Detectors that pass on their evidence at each tick. */
 class Fleet {
   readonly detectors = Array.from({ length: ENTRY_VMS }, () => new CrashingRequestDetector());
 
+  /** Selects the messages that are lost, by the positions of sender and receiver. */
+  isLost: (sender: number, receiver: number) => boolean = () => false;
+
   exchange(): void {
-    for (const sender of this.detectors) {
+    this.detectors.forEach((sender, from) => {
       const evidence = sender.takeEvidence();
       if (evidence !== undefined) {
-        this.detectors
-          .filter((other) => other !== sender)
-          .forEach((other) => {
-            other.recordEvidence(evidence);
-          });
+        this.detectors.forEach((receiver, to) => {
+          if (from !== to && !this.isLost(from, to)) {
+            receiver.recordEvidence(evidence);
+          }
+        });
       }
+    });
+  }
+
+  /** Replaces the process of an entry VM by a new one, which the others hear from. */
+  restart(index: number): void {
+    const newcomer = new CrashingRequestDetector();
+    const evidence = this.at(index + 1).evidenceForNewcomer();
+    this.detectors[index % ENTRY_VMS] = newcomer;
+    if (evidence !== undefined) {
+      newcomer.recordEvidence(evidence);
     }
   }
 
@@ -56,6 +73,16 @@
   }
 }
 
+/** Sends a request to an entry VM; it crashes its server unless it is refused. @returns the number of crashes. */
+function visit(fleet: Fleet, index: number, request: CallerRequest, incarnation: number): number {
+  if (fleet.at(index).isRefused(request)) {
+    return 0;
+  }
+  // The owner of a key starts again under its ID.
+  fleet.at(index).recordLoss(request, { id: 'server-1', incarnation });
+  return 1;
+}
+
 describe('a request that crashes servers', () => {
   describe('when it comes again at another entry VM each time', () => {
     it('is refused by all after the limit of crashes', async () => {
@@ -63,16 +90,96 @@
         const request = requestTo('/crash');
         let crashes = 0;
         for (let round = 0; round < 14; round += 1) {
-          if (!fleet.at(round).isRefused(request)) {
-            // The owner of a key starts again under its ID.
-            fleet.at(round).recordLoss(request, { id: 'server-1', incarnation: round });
-            crashes += 1;
+          crashes += visit(fleet, round, request, round);
+          advance(1_500);
+        }
+        assert.ok(crashes <= MAX_CRASHES, `${crashes.toString()} crashes`);
+      });
+    });
+
+    it('is refused after the limit also while the entry VMs restart one after the other', async () => {
+      await withFleet((fleet, advance) => {
+        const request = requestTo('/crash');
+        let crashes = 0;
+        for (let round = 0; round < 4 * ENTRY_VMS; round += 1) {
+          if (round > 2) {
+            fleet.restart(round);
           }
+          advance(700);
+          crashes += visit(fleet, round, request, round);
+          advance(800);
+        }
+        assert.ok(crashes <= MAX_CRASHES, `${crashes.toString()} crashes`);
+      });
+    });
+
+    it('is refused after the limit although an entry VM misses the first messages', async () => {
+      await withFleet((fleet, advance) => {
+        const request = requestTo('/crash');
+        fleet.isLost = (_sender, receiver) => receiver === 5;
+        let crashes = 0;
+        for (const index of [0, 1, 2]) {
+          crashes += visit(fleet, index, request, index);
+          advance(1_500);
+        }
+        fleet.isLost = () => false;
+        for (const index of [3, 5, 4, 5, 0, 5]) {
+          crashes += visit(fleet, index, request, 3 + index);
           advance(1_500);
         }
         assert.ok(crashes <= MAX_CRASHES, `${crashes.toString()} crashes`);
       });
     });
+
+    it('is refused after the limit although its route sends it to several services', async () => {
+      await withFleet((fleet, advance) => {
+        let crashes = 0;
+        for (let round = 0; round < 12; round += 1) {
+          const service = `catalogue-${(round % 3).toString()}`;
+          crashes += visit(fleet, round, requestTo('/crash', service), round);
+          advance(1_500);
+        }
+        assert.ok(crashes <= MAX_CRASHES, `${crashes.toString()} crashes`);
+      });
+    });
+  });
+
+  describe('when more requests were in flight at failing servers than are remembered', () => {
+    it('is refused all the same', async () => {
+      await withFleet((fleet, advance) => {
+        for (let index = 0; index < REQUESTS_IN_FLIGHT; index += 1) {
+          fleet
+            .at(0)
+            .recordLoss(requestTo(`/upload/${index.toString()}`), { id: 'server-1', incarnation: 1 });
+        }
+        advance(3_000);
+        const request = requestTo('/crash');
+        let crashes = 0;
+        for (let round = 0; round < 10; round += 1) {
+          crashes += visit(fleet, round, request, round);
+          advance(1_500);
+        }
+        assert.ok(crashes <= MAX_CRASHES, `${crashes.toString()} crashes`);
+      });
+    });
+  });
+
+  describe('when an entry VM misses that a popular request got a response', () => {
+    it('is soon refused by none', async () => {
+      await withFleet((fleet, advance) => {
+        const popular = requestTo('/popular');
+        fleet.at(0).recordLoss(popular, { id: 'server-1', incarnation: 1 });
+        fleet.at(1).recordLoss(popular, { id: 'server-2', incarnation: 1 });
+        advance(500);
+        fleet.isLost = (_sender, receiver) => receiver === 4;
+        fleet.at(2).recordResponse(popular);
+        advance(100);
+        fleet.isLost = () => false;
+        assert.is(fleet.at(4).isRefused(popular), true);
+        advance(1_500);
+        assert.ok(fleet.detectors.every((detector) => !detector.isRefused(popular)));
+      });
+    });
   });
 
   describe('when a popular request is in flight at two servers that fail', () => {
--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -162,14 +162,17 @@
     return separator === -1 ? undefined : id.slice(separator + 1);
   }
 
-  recordMessage(id: string, incarnation: string): void {
+  /** @returns whether it is the first message of this incarnation. */
+  recordMessage(id: string, incarnation: string): boolean {
     const last = this.#lastMessages.get(id);
     if (last === undefined) {
       this.#lastMessages.set(id, { incarnation, at: performance.now() });
-    } else {
-      last.incarnation = incarnation;
-      last.at = performance.now();
+      return true;
     }
+    const isFirst = last.incarnation !== incarnation;
+    last.incarnation = incarnation;
+    last.at = performance.now();
+    return isFirst;
   }
 
   /** Whether a different incarnation of the entry VM has sent a message or written its row. */
--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -233,8 +233,8 @@
   },
   {
     type: 'crash-evidence',
-    fields: ['lost', 'answered'],
-    codecs: { lost: absentIfEmpty, answered: absentIfEmpty },
+    fields: ['lost', 'answered', 'known'],
+    codecs: { lost: absentIfEmpty, answered: absentIfEmpty, known: absentIfEmpty },
   },
   { type: 'slot-check', fields: ['ids'], codecs: { ids: listOf(slotRequestId) } },
 ];
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -117,6 +117,11 @@
     lost: z.array(z.tuple([z.string(), z.string()])).default([]),
     /** Fingerprints of requests that got a response after all. */
     answered: z.array(z.string()).default([]),
+    /**
+     * Fingerprints of requests, each with server incarnations that lost their connection on it and the time since the
+     * first loss, in milliseconds. Absent in messages of entry VMs that run an older version.
+     */
+    known: z.array(z.tuple([z.string(), z.array(z.string()), z.number().nonnegative()])).default([]),
   }),
   z.object({
     /** From a coordinator: a `finish` is expected for each of these slot requests that is not pending or in use. */
--- a/packages/entryVm/src/common/test/peerMessage.test.ts
+++ b/packages/entryVm/src/common/test/peerMessage.test.ts
@@ -132,6 +132,7 @@
     {
       lost: fc.array(fc.tuple(text, text), { maxLength: 4 }),
       answered: fc.array(text, { maxLength: 4 }),
+      known: fc.array(fc.tuple(text, fc.array(text, { maxLength: 3 }), fc.nat()), { maxLength: 4 }),
     },
     { noNullPrototype: true },
   ),
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -21,6 +21,7 @@
 import { AvailableServers } from '../common/availableServers.js';
 import { ByteAccount } from '../common/byteAccount.js';
 import { CoordinatedSlots } from '../common/coordinatedSlots.js';
+import { CrashEvidenceExchange } from '../common/crashEvidenceExchange.js';
 import {
   CountedServerTransport,
   countGrants,
@@ -86,7 +87,7 @@
   readonly #keyOwnership: KeyOwnershipController;
   readonly #callerServer: CallerServer;
   readonly #connections: ServerConnectionPool;
-  readonly #crashDetector = new CrashingRequestDetector();
+  readonly #crashEvidence: CrashEvidenceExchange;
   readonly #bytes: ByteAccount;
   readonly #responseSizes = new ResponseSizes();
   readonly #crossingCost = new CrossingCost(this.#responseSizes, () => this.#entryVmRegistry.entryVms());
@@ -219,6 +220,15 @@
       }),
     );
     const sendToOthers = this.#sendToOthers.bind(this);
+    const crashDetector = new CrashingRequestDetector();
+    this.#crashEvidence = new CrashEvidenceExchange({
+      detector: crashDetector,
+      sendToOthers,
+      sendWithDuplicate: (ipAddress, message) => {
+        this.#peerSocket.sendWithDuplicate(ipAddress, message);
+      },
+      logger,
+    });
     this.#keyOwnership = this.register(
       new KeyOwnershipController({
         self,
@@ -258,7 +268,7 @@
         logger,
       ),
       new RetryBudget(settings.retryBudget, () => this.#entryVmRegistry.entryVms().length),
-      this.#crashDetector,
+      crashDetector,
       logger,
     );
     const memory = new MemoryBudget(settings.maxHeldBodyBytes);
@@ -371,14 +381,15 @@
     );
     this.register(
       this.#peerSocket.onDidReceive(({ from, incarnation, message }) => {
-        this.#entryVmRegistry.recordMessage(from, incarnation);
+        const isNewcomer = this.#entryVmRegistry.recordMessage(from, incarnation);
         const ipAddress = this.#entryVmRegistry.ipAddressOf(from);
+        if (isNewcomer && ipAddress !== undefined) {
+          this.#crashEvidence.welcome(ipAddress);
+        }
         if (ipAddress !== undefined && !this.#slots.receive(ipAddress, message)) {
           this.#keyOwnership.receive(message);
         }
-        if (message.type === 'crash-evidence') {
-          this.#crashDetector.recordEvidence(message);
-        }
+        this.#crashEvidence.receive(message);
       }),
     );
     this.register(
@@ -428,27 +439,12 @@
     this.#peerSocket.sendToAll(this.#entryVmRegistry.otherAddresses(), message);
   }
 
-  #shareCrashEvidence(): void {
-    const evidence = this.#crashDetector.takeEvidence();
-    if (evidence !== undefined) {
-      this.#sendToOthers({
-        type: 'crash-evidence',
-        lost: evidence.lost.map(([fingerprint, server]) => [fingerprint, server]),
-        answered: [...evidence.answered],
-      });
-      this.#logger.log('info', 'crash-evidence-shared', {
-        lost: evidence.lost.length,
-        answered: evidence.answered.length,
-      });
-    }
-  }
-
   #tick(): void {
     const now = performance.now();
     const lateness = Math.max(0, now - this.#tickDueAt);
     this.#tickDueAt = now + TICK_MILLISECONDS;
     this.metrics.recordMilliseconds('hickoryhoist_event_loop_delay_milliseconds', {}, lateness);
-    this.#shareCrashEvidence();
+    this.#crashEvidence.tick();
     if (this.#serverRegistry.retainsAbsentServers && this.#serverRegistry.isAbsenceReliable) {
       this.#serverRegistry.update(this.#serverRows.rows);
     }
