Keep refusing requests that crash servers when a process that counted them ends

Callers of the product's own interface lost what ran at servers that a request crashed again after it had been refused everywhere: the assigner added up the losses that connected processes report, so the sum fell below the limit as soon as one of them restarted, stopped reporting or was cut off.

The assigner now remembers the newest suspects of each process for ten minutes, which is as long as a process keeps them itself. A process withdraws them by a report without them, as before, so a harmless request is cleared by a response.

Ruled out: letting every process report what it was told. A harmless request would then stay refused for ten minutes, since no response could clear it.

--- a/packages/ownership/src/common/assigner.ts
+++ b/packages/ownership/src/common/assigner.ts
@@ -13,6 +13,7 @@
 } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
 import type { AssignmentPlanner } from './assignmentPlanner.js';
 import type { AssignmentStore, HeldTerm } from './assignmentStore.js';
+import { CrashSuspectMemory } from './crashSuspectMemory.js';
 import { leaseTiming } from './leaseTiming.js';
 import { mergeLoad } from './loadAggregation.js';
 import { type FollowerSession, MemberRegistry } from './memberRegistry.js';
@@ -66,6 +67,7 @@
 export class Assigner extends DisposableBase {
   readonly #options: AssignerOptions;
   readonly #members = new MemberRegistry();
+  readonly #crashSuspects = new CrashSuspectMemory();
   readonly #observers = new Map<string, ServerObserver>();
   readonly #onDidLoseTerm = this.register(new Emitter<void>());
   readonly #startedAt = performance.now();
@@ -137,12 +139,14 @@
     return {
       onReport: (report) => {
         const isFirst = session.entryVm === undefined;
-        const previousSuspectCount = session.crashSuspects.length;
         this.#members.record(session, report);
         if (isFirst) {
           this.#send(session, this.#messageHeader());
         }
-        if (report.crashSuspects.length > 0 || previousSuspectCount > 0) {
+        if (
+          session.entryVm !== undefined &&
+          this.#crashSuspects.record(session.entryVm, report.crashSuspects)
+        ) {
           this.#sendToAll();
         }
       },
@@ -281,12 +285,11 @@
 
   /** Returns the fields that are the same for every follower. */
   #messageHeader(): Omit<AssignerMessage, 'body'> {
-    const suspects = this.#members.liveSessions().map(({ crashSuspects }) => crashSuspects);
     return {
       term: this.term,
       isStoreReachable: this.#isStoreReachable,
       isRefused: false,
-      refusedFingerprints: [...this.#options.findCrashingRequests(suspects)],
+      refusedFingerprints: [...this.#options.findCrashingRequests(this.#crashSuspects.all())],
     };
   }
 
--- a/packages/ownership/src/common/memberRegistry.ts
+++ b/packages/ownership/src/common/memberRegistry.ts
@@ -1,6 +1,5 @@
 import type { EntryVm } from '@hickoryhoist/protocol/common/assignment.js';
 import type {
-  CrashSuspect,
   FollowerReport,
   LoadReport,
   ServerReport,
@@ -21,7 +20,6 @@
   configurationRevision: number;
   servers: readonly ServerReport[];
   load: LoadReport | undefined;
-  crashSuspects: readonly CrashSuspect[];
 }
 
 /** Followers that are connected to an assigner. */
@@ -40,7 +38,6 @@
       configurationRevision: 0,
       servers: [],
       load: undefined,
-      crashSuspects: [],
     };
     this.#sessions.add(session);
     return session;
@@ -58,7 +55,6 @@
     session.configurationRevision = report.configurationRevision;
     session.servers = report.servers;
     session.load = report.load ?? session.load;
-    session.crashSuspects = report.crashSuspects;
     const isOverdue = performance.now() - session.sentAt > leaseTiming.peerTimeoutMilliseconds;
     if (report.appliedRevision < session.sentRevision && isOverdue) {
       session.sentRevision = report.appliedRevision;
--- a/packages/ownership/src/common/test/fakes/fakeRegion.ts
+++ b/packages/ownership/src/common/test/fakes/fakeRegion.ts
@@ -5,6 +5,7 @@
 import { Publisher } from '@hickoryhoist/configuration/common/publisher.js';
 import { type ServiceFile, serviceFileSchema } from '@hickoryhoist/configuration/common/serviceFile.js';
 import type { LoadReport } from '@hickoryhoist/protocol/generated/hickoryhoist/control/v1/control.js';
+import type { CrashExchange } from '../../crashExchange.js';
 import { EntryVmControl } from '../../entryVmControl.js';
 import type { PeerClient } from '../../peerClient.js';
 import { type ServerClient, ServerUnreachableError } from '../../serverClient.js';
@@ -29,6 +30,8 @@
   /** Whether the servers support fencing; true by default. */
   readonly supportsFencing?: boolean;
   readonly loadReport?: (entryVm: string, group: string) => LoadReport | undefined;
+  /** Exchange of a process that starts; by default one without suspects. */
+  readonly crashExchange?: (entryVm: string, incarnation: string) => CrashExchange;
 }
 
 /** Entry VMs, servers and the platform in one process, on a fake network and a fake clock. */
@@ -86,10 +89,11 @@
   startEntryVm(id: string): EntryVmControl {
     this.#starts += 1;
     const index = this.entryVmIds.indexOf(id);
+    const incarnation = `${id}#${this.#starts.toString()}`;
     const control = new EntryVmControl({
       self: {
         id,
-        incarnation: `${id}#${this.#starts.toString()}`,
+        incarnation,
         controlAddress: id,
         requestAddress: `request-${id}`,
         availabilityZone: this.#options.entryVmZones[index] ?? 'zone',
@@ -107,7 +111,7 @@
         },
       },
       seedAddresses: this.entryVmIds,
-      crashExchange: {
+      crashExchange: this.#options.crashExchange?.(id, incarnation) ?? {
         onDidRecordLoss: new Emitter<void>().event,
         report: () => [],
         findCrashingRequests: () => [],
