--- a/packages/ownership/src/common/test/crashSuspects.test.ts
+++ b/packages/ownership/src/common/test/crashSuspects.test.ts
@@ -45,7 +45,8 @@
     sliceCount: 8,
     crashExchange: (entryVm: string, incarnation: string) => exchanges.create(entryVm, incarnation),
   };
-  await runRegion(options, async ({ region, advance }) => {
+  await runRegion(options, async (run) => {
+    const { region } = run;
     const groups = [...region.entryVms].map(([id, control]) => ({
       id,
       incarnation: control.self.incarnation,
@@ -54,13 +55,13 @@
     const [first, second] = groups.filter(({ isAssigner }) => !isAssigner);
     assert.ok(first && second);
     exchanges.lossesByProcess.set(first.incarnation, 2).set(second.incarnation, 1);
-    await advance(1_000);
+    await run.advance(1_000);
     assert.ok([...exchanges.refused.values()].every((refused) => refused.includes(FINGERPRINT)));
     await scenario(exchanges, async (index) => {
       const id = [first, second][index]?.id ?? '';
       region.killEntryVm(id);
       region.startEntryVm(id);
-      await advance(RESTART_MILLISECONDS);
+      await run.advance(RESTART_MILLISECONDS);
     });
   });
 }
