Let only a newer incarnation of an owner free its keys

Callers' keys could get a second owner: an assigner that knows a server by an announcement of a former incarnation took the present one, which the stored assignment names, for ended, and freed its keys at once if the two had different addresses. With the same address it took the keys back from a live server.

The start time now decides here too: an incarnation ends an owner only if it is newer, a former one that is leaving or ready says nothing about the owner and is given no keys.

Ruled out: dropping such a server from the registry's list. It would then count as absent, and its keys would be revoked.

--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -168,9 +168,9 @@
       if (this.#options.isAbsenceReliable()) {
         lease.revoke('server absent from the registry');
       }
-    } else if (server.incarnation !== lease.range.ownerIncarnation) {
+    } else if (server.incarnation > lease.range.ownerIncarnation) {
       lease.revoke('server restarted');
-    } else if (server.phase === 'leaving') {
+    } else if (server.phase === 'leaving' && server.incarnation === lease.range.ownerIncarnation) {
       lease.revoke('server leaving');
     } else if (lease.isOwnerUnresponsive(now, this.#runningSince) && lease.goal === 'renew') {
       lease.revoke('server unresponsive');
@@ -287,8 +287,16 @@
   }
 
   #readyServers(servers: ReadonlyMap<string, RegisteredServer>, now: number): readonly RegisteredServer[] {
+    const newestOwners = new Map<string, number>();
+    for (const { range } of this.#leases) {
+      const known = newestOwners.get(range.ownerId) ?? 0;
+      newestOwners.set(range.ownerId, Math.max(known, range.ownerIncarnation));
+    }
     return [...servers.values()].filter(
-      (server) => server.phase === 'ready' && !this.#suspicions.isSuspected(server, now),
+      (server) =>
+        server.phase === 'ready' &&
+        server.incarnation >= (newestOwners.get(server.id) ?? 0) &&
+        !this.#suspicions.isSuspected(server, now),
     );
   }
 
@@ -500,9 +508,11 @@
 /**
  * A restarted process has lost the leases of its predecessor. If it listens on the same address, however, renewals
  * that were sent before the restart was known may have reached it. It must then release the keys like any other owner.
+ * The registry may also name a former incarnation of the owner, whose announcement the store wrote late: the one with the
+ * later start time is the present one.
  */
 function ownerState({ range }: RangeLease, server: RegisteredServer | undefined): OwnerState {
-  const hasRestarted = server !== undefined && server.incarnation !== range.ownerIncarnation;
+  const hasRestarted = server !== undefined && server.incarnation > range.ownerIncarnation;
   return {
     hasEnded: hasRestarted && server.address !== range.ownerAddress,
     isAbsent: server === undefined,
--- a/packages/keyOwnership/src/common/test/fakes/keyAssignerRig.ts
+++ b/packages/keyOwnership/src/common/test/fakes/keyAssignerRig.ts
@@ -69,6 +69,15 @@
     this.#registered.set(id, { id, incarnation, address: id, phase, requestsPerSecond });
   }
 
+  /** Registers the incarnation before the present one, at another address, as a late write in the store does. */
+  registerFormer(id: string): void {
+    const registered = this.#registered.get(id);
+    if (registered !== undefined) {
+      const { incarnation } = registered;
+      this.#registered.set(id, { ...registered, incarnation: incarnation - 1, address: `former-${id}` });
+    }
+  }
+
   unregister(id: string): void {
     this.#registered.delete(id);
   }
--- a/packages/keyOwnership/src/common/test/keyAssigner.test.ts
+++ b/packages/keyOwnership/src/common/test/keyAssigner.test.ts
@@ -108,6 +108,27 @@
     });
   });
 
+  describe('when the registry names a former incarnation of an owner, at another address', () => {
+    it('frees none of the keys that the present one holds', async () => {
+      await withKeyAssignerRig(SERVER_IDS, async (rig) => {
+        await rig.advance(5_000);
+        rig.servers.servers.get('server-1')?.restart();
+        rig.register('server-1');
+        await rig.advance(2_000);
+        const revocations = rig.trace.filter((line) => line.includes('lease-revoked')).length;
+        rig.registerFormer('server-1');
+        rig.register('server-2', 'leaving');
+        await rig.advance(6_000);
+        assert.equal(rig.violations, [], rig.trace.join('\n'));
+        const later = rig.trace.filter((line) => line.includes('lease-revoked')).slice(revocations);
+        assert.ok(
+          later.length > 0 && later.every((line) => line.includes('server leaving')),
+          later.join('\n'),
+        );
+      });
+    });
+  });
+
   describe('when a zone is evacuated of which a part does not respond', () => {
     it('plans no moves that cannot start', async () => {
       await withKeyAssignerRig(SERVER_IDS, async (rig) => {
