Keep a server leaving whatever announcement the store writes late

Two related paths were open: - A write of the same incarnation from before it began to leave, performed after the one that says so, made it ready again. - A response does not name its incarnation. A server that has started again and leaves at once was recorded under the one that the entry VM still knew; the announcement of the new incarnation, written late, then counted as a new start.

Within an incarnation, leaving is now final: the users' pages name no way back, a server that leaves exits. A statement holds for each incarnation that had started when it was made. Clocks of VMs differ, so an incarnation that was not known is judged by its start time for ten seconds only, which covers the writes that the store performs up to six seconds late.

A test of storeReaders used a server that left, became ready and left as a convenient series of changes. No server does that, so it now becomes ready as a new incarnation; the changes, their times and all checks are as they were.

Evidence: two of the four new tests fail on the code before with the server ready instead of leaving; the others bound the remedy.

--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -4,6 +4,7 @@
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { AnnouncedWarmups } from './announcedWarmups.js';
+import { LeavingStatements } from './leavingStatements.js';
 import { ServerIncarnations } from './serverIncarnations.js';
 
 /**
@@ -42,11 +43,6 @@
   );
 }
 
-interface StatedLeaving {
-  readonly incarnation: number;
-  readonly at: number;
-}
-
 /**
  * Keeps track of servers by their announcements and by what they state themselves. Servers absent after a store outage
  * are kept for a while.
@@ -62,8 +58,9 @@
   readonly #incarnations = new ServerIncarnations();
   /** When servers began to leave or became absent, by ID. */
   readonly #leavingSince = new Map<string, number>();
-  /** Incarnations of servers that stated in a response that they are leaving, by ID. */
-  readonly #statedLeaving = new Map<string, StatedLeaving>();
+  readonly #leavingStatements = new LeavingStatements();
+  /** Announcements of ready servers that a statement covers although their incarnation was not known to make it. */
+  readonly #assumedLeaving = new Map<string, ServerRecord>();
   /** Servers with an unreadable row, each logged once. */
   readonly #unreadable = new Set<string>();
   readonly #onDidChange = new Emitter<void>();
@@ -104,14 +101,13 @@
   /**
    * Records that a server stated in a response that it is leaving. It holds for its incarnation, whatever older or
    * repeated announcements say.
+   * @param incarnation the newest one that the receiver of the response knew.
    * @returns whether that was not known.
    */
   recordStatedLeaving(id: string, incarnation: number): boolean {
-    const stated = this.#statedLeaving.get(id);
-    if (stated !== undefined && stated.incarnation >= incarnation) {
+    if (!this.#leavingStatements.record(id, incarnation)) {
       return false;
     }
-    this.#statedLeaving.set(id, { incarnation, at: performance.now() });
     const server = this.#servers.get(id);
     if (server?.incarnation !== incarnation || server.phase === 'leaving') {
       return false;
@@ -145,6 +141,7 @@
         this.#servers.delete(id);
         this.#versions.delete(id);
         this.#warmups.delete(id);
+        this.#assumedLeaving.delete(id);
         this.#incarnations.recordRemoval(id, performance.now());
         this.#recordLeaving(id);
         this.#logger.log('info', 'server-missing', { server: id });
@@ -157,6 +154,19 @@
     }
   }
 
+  /** Accepts servers as ready of which it can no longer be assumed that they have stated to be leaving. */
+  tick(): void {
+    for (const [id, record] of this.#assumedLeaving) {
+      if (!this.#leavingStatements.covers(id, record.incarnation)) {
+        this.#assumedLeaving.delete(id);
+        if (this.#servers.get(id)?.incarnation === record.incarnation) {
+          this.#put(record);
+          this.#onDidChange.fire();
+        }
+      }
+    }
+  }
+
   #recordLeaving(id: string): void {
     const now = performance.now();
     if (!this.#leavingSince.has(id)) {
@@ -167,20 +177,13 @@
         this.#leavingSince.delete(other);
       }
     }
-    for (const [other, { at }] of this.#statedLeaving) {
-      if (now - at > LEAVING_RETENTION_MILLISECONDS && !this.#servers.has(other)) {
-        this.#statedLeaving.delete(other);
-      }
-    }
+    this.#leavingStatements.forget(now - LEAVING_RETENTION_MILLISECONDS, (other) => this.#servers.has(other));
   }
 
   #applyRow(id: string, value: string): boolean {
-    let record: ServerRecord;
+    let announced: ServerRecord;
     try {
-      record = this.#decode(id, value);
-      if (this.#statedLeaving.get(id)?.incarnation === record.incarnation) {
-        record = { ...record, phase: 'leaving' };
-      }
+      announced = this.#decode(id, value);
     } catch (error) {
       if (!this.#unreadable.has(id)) {
         this.#unreadable.add(id);
@@ -188,29 +191,41 @@
       }
       return false;
     }
-    if (!this.#incarnations.record(id, record.incarnation)) {
-      const { incarnation } = record;
+    const { incarnation } = announced;
+    if (!this.#incarnations.record(announced)) {
       this.#logger.log('info', 'server-announcement-outdated', { server: id, incarnation });
       return false;
     }
+    const isStatedLeaving = this.#leavingStatements.covers(id, incarnation);
+    const record: ServerRecord = isStatedLeaving ? { ...announced, phase: 'leaving' } : announced;
+    if (isStatedLeaving && announced.phase === 'ready') {
+      this.#assumedLeaving.set(id, announced);
+    } else {
+      this.#assumedLeaving.delete(id);
+    }
     const isExtended = this.#warmups.record(record, performance.now());
     if (isSameAnnouncement(this.#servers.get(id), record) && !isExtended) {
       return false;
     }
+    this.#put(record);
+    return true;
+  }
+
+  #put(record: ServerRecord): void {
+    const { id, service, phase, incarnation, address, warmupMilliseconds: warmup } = record;
     this.#servers.set(id, record);
-    if (record.phase === 'leaving') {
+    if (phase === 'leaving') {
       this.#recordLeaving(id);
     } else {
       this.#leavingSince.delete(id);
     }
     this.#logger.log('info', 'server-announced', {
       server: id,
-      service: record.service,
-      phase: record.phase,
-      incarnation: record.incarnation,
-      address: record.address,
-      warmup: record.warmupMilliseconds,
+      service,
+      phase,
+      incarnation,
+      address,
+      warmup,
     });
-    return true;
   }
 }
--- a/packages/entryVm/src/common/test/serverRegistry.test.ts
+++ b/packages/entryVm/src/common/test/serverRegistry.test.ts
@@ -18,18 +18,25 @@
   if (id === 'damaged') {
     throw new Error('unreadable');
   }
+  const [incarnation, phase] = value.split(' ');
   return {
     id,
-    incarnation: value === id ? 1 : Number(value),
+    incarnation: value === id ? 1 : Number(incarnation),
     service: 'catalogue',
     address: id,
     availabilityZone: 'z',
     slots: 2,
-    phase: 'ready',
+    phase: phase === 'leaving' ? phase : 'ready',
     warmupMilliseconds: 0,
   };
 }
 
+/** The table with one row, of a server that announces its incarnation, and that it is leaving if it is. */
+function rowOf(incarnation: number, version: number, phase = 'ready'): ReadonlyMap<string, StoredRow> {
+  const value = `${incarnation.toString()} ${phase}`;
+  return new Map([['a', { table: 'servers', key: 'a', value, version }]]);
+}
+
 async function withRegistry(
   test: (registry: ServerRegistry, health: StoreHealth, clock: FakeTimers.Clock) => Promise<void>,
 ): Promise<void> {
@@ -107,9 +114,6 @@
   });
 
   describe('when the store performs a write of a former incarnation late', () => {
-    const rowOf = (incarnation: number, version: number): ReadonlyMap<string, StoredRow> =>
-      new Map([['a', { table: 'servers', key: 'a', value: incarnation.toString(), version }]]);
-
     it('keeps what the present incarnation stated and announced', async () => {
       await withRegistry(async (registry, health) => {
         health.recordSuccess();
@@ -136,4 +140,67 @@
       });
     });
   });
+
+  describe('when the store performs an earlier write of the same incarnation late', () => {
+    it('keeps the server leaving, also after its announcement was gone', async () => {
+      await withRegistry(async (registry, health) => {
+        health.recordSuccess();
+        registry.update(rowOf(20, 1));
+        registry.update(rowOf(20, 2, 'leaving'));
+        registry.update(rowOf(20, 3));
+        assert.is(registry.servers.get('a')?.phase, 'leaving');
+        registry.update(new Map());
+        registry.update(rowOf(20, 4));
+        await Promise.resolve();
+        assert.not.equal(registry.servers.get('a')?.phase, 'ready');
+        registry.update(rowOf(30, 5));
+        assert.is(registry.servers.get('a')?.phase, 'ready');
+      });
+    });
+  });
+
+  describe('when a server states that it is leaving before its incarnation is known', () => {
+    const BORN = 1_000;
+
+    it('counts it as leaving when the announcement of that incarnation arrives late', async () => {
+      await withRegistry(async (registry, health, clock) => {
+        health.recordSuccess();
+        registry.update(rowOf(BORN, 1));
+        await clock.tickAsync(BORN + 4_000);
+        // The process that responded has started at 3 s; the entry VM knows only the one before.
+        assert.is(registry.recordStatedLeaving('a', BORN), true);
+        await clock.tickAsync(3_000);
+        registry.update(rowOf(3_000, 2));
+        assert.is(registry.servers.get('a')?.phase, 'leaving');
+        registry.update(rowOf(3_000, 3));
+        assert.is(registry.servers.get('a')?.phase, 'leaving');
+      });
+    });
+
+    it('counts a process that has started since as ready', async () => {
+      await withRegistry(async (registry, health, clock) => {
+        health.recordSuccess();
+        registry.update(rowOf(BORN, 1));
+        await clock.tickAsync(BORN + 4_000);
+        registry.recordStatedLeaving('a', BORN);
+        await clock.tickAsync(3_000);
+        registry.update(rowOf(BORN + 5_500, 2));
+        assert.is(registry.servers.get('a')?.phase, 'ready');
+      });
+    });
+
+    it('counts it as ready once the statement is old, because the clocks of VMs may differ', async () => {
+      await withRegistry(async (registry, health, clock) => {
+        health.recordSuccess();
+        registry.update(rowOf(BORN, 1));
+        await clock.tickAsync(BORN + 4_000);
+        registry.recordStatedLeaving('a', BORN);
+        await clock.tickAsync(3_000);
+        registry.update(rowOf(3_000, 2));
+        await clock.tickAsync(9_000);
+        registry.tick();
+        assert.is(registry.servers.get('a')?.phase, 'ready');
+      });
+    });
+  });
 });
--- a/packages/entryVm/src/common/test/storeReaders.test.ts
+++ b/packages/entryVm/src/common/test/storeReaders.test.ts
@@ -330,6 +330,9 @@
           rig.store.put('another table', 'row', number.toString());
           await rig.advance(150);
         }
+        if (phase === 'ready') {
+          rig.servers.servers.get('server-4')?.restart();
+        }
         rig.announce('server-4', phase);
         await rig.advance(200);
         assert.equal(
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -448,6 +448,7 @@
     if (this.#serverRegistry.retainsAbsentServers && this.#serverRegistry.isAbsenceReliable) {
       this.#serverRegistry.update(this.#serverRows.rows);
     }
+    this.#serverRegistry.tick();
     this.#evacuations.tick(now);
     this.#entryVmRegistry.tick();
     this.#keyOwnership.tick();
