Do not take an assigner for ended because of its former process

Callers' keys could get two owners: an assigner that was alive, and had just started again, was replaced at once, and the new one did not wait for its lease to end.

Incarnations of entry VMs have no order, so the order of events decides: only a message first heard, or a row written, after the record counts, and not a row while the process that the record names is still heard. Rows are written and deleted under the condition that they are the ones that this process knows.

Ruled out: an incarnation that contains the start time. Slot requests are named by incarnation alone, and all VMs start within 0.3 s.

--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -3,9 +3,11 @@
 import { compareText } from '@hickoryhoist/base/common/compareText.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
+import type { Candidate, RecordOfCandidate } from '@hickoryhoist/keyownership/common/assignerElection.js';
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { DecodedRows } from './decodedRows.js';
+import { HeardProcesses } from './heardProcesses.js';
 
 const ENTRY_VM_PREFIX = 'entry-vm/';
 /** Pause after a failed attempt to write this entry VM's row. */
@@ -23,6 +25,8 @@
 const MIN_NEIGHBOURS = 3;
 /** A process acts on what it knows when its own row has not shown up for this long, in milliseconds. */
 const MAX_SETTLING_MILLISECONDS = 3_000;
+/** A process that sends no message for this long may have ended; several times the interval of heartbeats. */
+const SILENCE_MILLISECONDS = 600;
 
 const entryVmRecordSchema = z.object({
   ipAddress: z.string(),
@@ -71,8 +75,9 @@
   readonly #store: RowStore;
   readonly #rows: EntryVmRows;
   readonly #logger: Logger;
-  /** Sender's incarnation and time of the last message, by ID. */
-  readonly #lastMessages = new Map<string, { incarnation: string; at: number }>();
+  readonly #heard = new HeardProcesses();
+  /** Version of this entry VM's row as this process wrote it last; undefined if it has not. */
+  #writtenVersion: number | undefined;
   #isWriting = false;
   #isLeaving = false;
   #nextWriteAt = 0;
@@ -164,30 +169,34 @@
 
   /** @returns whether it is the first message of this incarnation. */
   recordMessage(id: string, incarnation: string): boolean {
-    const last = this.#lastMessages.get(id);
-    if (last === undefined) {
-      this.#lastMessages.set(id, { incarnation, at: performance.now() });
-      return true;
-    }
-    const isFirst = last.incarnation !== incarnation;
-    last.incarnation = incarnation;
-    last.at = performance.now();
-    return isFirst;
+    return this.#heard.record(id, incarnation);
   }
 
-  /** Whether a different incarnation of the entry VM has sent a message or written its row. */
-  hasEnded(id: string, incarnation: string): boolean {
-    const lastMessage = this.#lastMessages.get(id);
-    if (lastMessage !== undefined && lastMessage.incarnation !== incarnation) {
+  /**
+   * Whether a process that is named by a record in the store has ended: a later one of the same entry VM has sent a
+   * message or written its row. What is older than the record says nothing about the process, and a row may also be one
+   * that the store wrote late, so a process that is still heard has not ended.
+   */
+  hasEnded({ id, incarnation }: Candidate, { version, knownSince }: RecordOfCandidate): boolean {
+    if (id === this.#self.id) {
+      return incarnation !== this.#self.incarnation;
+    }
+    if (this.#heard.hasSuccessor(id, incarnation, knownSince)) {
       return true;
     }
-    const record = this.entryVms().find((other) => other.id === id);
-    return record !== undefined && record.incarnation !== incarnation;
+    const rowVersion = this.#rows.rows.get(ENTRY_VM_PREFIX + id)?.version ?? 0;
+    const record = this.#records.find((other) => other.id === id);
+    return (
+      record !== undefined &&
+      record.incarnation !== incarnation &&
+      rowVersion > version &&
+      performance.now() - this.#heard.lastHeardAt(id, incarnation) > SILENCE_MILLISECONDS
+    );
   }
 
   /** Time of the last message from an entry VM, on the monotonic clock. */
   lastHeardAt(id: string): number {
-    return this.#lastMessages.get(id)?.at ?? Number.NEGATIVE_INFINITY;
+    return this.#heard.lastHeardAt(id);
   }
 
   /** Writes this entry VM's row if it is missing or belongs to a previous incarnation. */
@@ -210,12 +219,17 @@
   async leave(): Promise<void> {
     this.#isLeaving = true;
     this.update();
+    const name = { table: CONTROL_TABLE, key: ENTRY_VM_PREFIX + this.#self.id };
     try {
-      await this.#store.transactRows({
-        expected: [],
+      // The store may perform the write after the next process of this entry VM has written its row.
+      const result = await this.#store.transactRows({
+        expected: [{ ...name, version: this.#writtenVersion ?? this.#rows.rows.get(name.key)?.version ?? 0 }],
         puts: [],
-        deletes: [{ table: CONTROL_TABLE, key: ENTRY_VM_PREFIX + this.#self.id }],
+        deletes: [name],
       });
+      if (result.kind === 'conflict') {
+        this.#logger.log('info', 'entry-vm-row-not-deleted', { reason: 'it is not the one of this process' });
+      }
     } catch (error) {
       this.#logger.log('warn', 'entry-vm-row-not-deleted', { reason: describeError(error) });
     }
@@ -256,18 +270,21 @@
   async #writeOwnRow(): Promise<void> {
     this.#isWriting = true;
     const { id, ...value } = this.#self;
+    const name = { table: CONTROL_TABLE, key: ENTRY_VM_PREFIX + id };
     try {
-      await this.#store.transactRows({
-        expected: [],
-        puts: [
-          {
-            table: CONTROL_TABLE,
-            key: ENTRY_VM_PREFIX + id,
-            value: JSON.stringify({ ...value, checksSlots: true }),
-          },
-        ],
+      // Without the condition, the store may perform a write of the former process late, over the row of this one.
+      const result = await this.#store.transactRows({
+        expected: [{ ...name, version: this.#rows.rows.get(name.key)?.version ?? 0 }],
+        puts: [{ ...name, value: JSON.stringify({ ...value, checksSlots: true }) }],
         deletes: [],
       });
+      if (result.kind === 'conflict') {
+        this.#nextWriteAt = performance.now() + POLL_INTERVAL_MILLISECONDS;
+        this.#logger.log('info', 'entry-vm-row-not-written', { reason: 'the copy of the table is old' });
+        this.#rows.poll();
+        return;
+      }
+      this.#writtenVersion = result.version;
       this.#writtenAt = performance.now();
       this.#pollAt = this.#writtenAt + SETTLING_MILLISECONDS;
       this.#nextWriteAt = performance.now() + REWRITE_MILLISECONDS;
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -125,7 +125,7 @@
       isStoreReachable: () => controlRows.isLoaded && health.isReachable,
       isRankKnown: () => entryVmRegistry.isSettled,
       peerIds: () => entryVmRegistry.entryVms().flatMap(({ id }) => (id === self.id ? [] : [id])),
-      hasEnded: ({ id, incarnation }) => entryVmRegistry.hasEnded(id, incarnation),
+      hasEnded: (candidate, record) => entryVmRegistry.hasEnded(candidate, record),
     });
     this.register(
       this.#election.onDidChange((heldTerm) => {
--- a/packages/entryVm/src/common/test/keyOwnershipController.test.ts
+++ b/packages/entryVm/src/common/test/keyOwnershipController.test.ts
@@ -2,6 +2,7 @@
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { decodeAssignment } from '@hickoryhoist/keyownership/common/assignmentRow.js';
+import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import { KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
 
 /** Users' limit for the time from a failure until a key is served again, plus the expiry of the last grant. */
@@ -187,6 +188,22 @@
     });
   });
 
+  describe('when the store writes a row of the former process of the assigner late', () => {
+    it('keeps the assigner', async () => {
+      await withKeyOwnershipRig(async (rig) => {
+        const { assigners } = rig;
+        const name = `entry-vm/${assigners[0] ?? ''}`;
+        const row = rig.store.row(CONTROL_TABLE, name);
+        assert.ok(row);
+        const former = { ...(JSON.parse(row.value) as object), incarnation: 'former' };
+        rig.store.put(CONTROL_TABLE, name, JSON.stringify(former));
+        await rig.advance(3_000);
+        assert.equal(rig.assigners, assigners);
+        assert.is(rig.trace.filter((line) => line.includes('assigner-elected')).length, 1);
+      });
+    });
+  });
+
   describe('when the assigner fails', () => {
     it('keeps an owner for every key under the next assigner', async () => {
       await withKeyOwnershipRig(async (rig) => {
--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -34,12 +34,23 @@
 
 type AssignerRow = z.output<typeof assignerSchema>;
 
+interface ReadAssignerRow extends RecordOfCandidate {
+  readonly row: AssignerRow;
+}
+
 /** A process that can be elected assigner. */
 export interface Candidate {
   readonly id: string;
   readonly incarnation: string;
 }
 
+/** The record in the store that names a candidate as the assigner. */
+export interface RecordOfCandidate {
+  readonly version: number;
+  /** When this process read the record first, on the monotonic clock. */
+  readonly knownSince: number;
+}
+
 /** Heartbeat of an assigner. */
 export interface AssignerHeartbeat {
   readonly term: number;
@@ -79,8 +90,8 @@
   readonly isRankKnown: () => boolean;
   /** Identifiers of all other processes that can be elected. */
   readonly peerIds: () => readonly string[];
-  /** Whether the given incarnation of a process is known to have ended. */
-  readonly hasEnded: (candidate: Candidate) => boolean;
+  /** Whether the process that a record names is known to have ended. */
+  readonly hasEnded: (candidate: Candidate, record: RecordOfCandidate) => boolean;
 }
 
 /**
@@ -102,7 +113,7 @@
   #isResigning = false;
   /** Version of the assigner's row on which a campaign was lost, and when. */
   #lostCampaign: { readonly rowVersion: number; readonly at: number } | undefined;
-  #lastReadRow: { row: AssignerRow; version: number } | undefined;
+  #lastReadRow: ReadAssignerRow | undefined;
   #confirmedAt = 0;
   #previousLeaseEndsAt = 0;
   readonly #acknowledgements = new Map<string, HeartbeatAcknowledgement>();
@@ -208,7 +219,7 @@
       if (performance.now() >= this.#nextConfirmationAt) {
         void this.#confirm(this.#heldTerm);
       }
-    } else if (!this.#isResigning && !this.#wouldLoseAgain(row) && this.#shouldCampaign(row?.row)) {
+    } else if (!this.#isResigning && !this.#wouldLoseAgain(row) && this.#shouldCampaign(row)) {
       void this.#campaign(row);
     }
   }
@@ -272,7 +283,7 @@
     }
   }
 
-  #readRow(): { row: AssignerRow; version: number } | undefined {
+  #readRow(): ReadAssignerRow | undefined {
     const stored = this.#options.assignerRow();
     if (stored === undefined || stored.version === this.#lastReadRow?.version) {
       return stored === undefined ? undefined : this.#lastReadRow;
@@ -281,6 +292,7 @@
       this.#lastReadRow = {
         row: parseDocument(ASSIGNER_ROW_KEY, assignerSchema, stored.value),
         version: stored.version,
+        knownSince: performance.now(),
       };
       return this.#lastReadRow;
     } catch (error) {
@@ -301,15 +313,15 @@
     );
   }
 
-  #shouldCampaign(row: AssignerRow | undefined): boolean {
+  #shouldCampaign(known: ReadAssignerRow | undefined): boolean {
     const { isStoreReachable, isRankKnown, rank, hasEnded } = this.#options;
     if (!isStoreReachable() || !isRankKnown()) {
       return false;
     }
     const now = performance.now();
     const rankDelay = rank() * RANK_DELAY_MILLISECONDS;
-    const hasNoAssigner = row === undefined || row.hasResigned || hasEnded(row);
-    if (hasNoAssigner && (row === undefined || row.term >= this.#highestSeenTerm)) {
+    const hasNoAssigner = known === undefined || known.row.hasResigned || hasEnded(known.row, known);
+    if (hasNoAssigner && (known === undefined || known.row.term >= this.#highestSeenTerm)) {
       return now - this.#electionTimerStartedAt > rankDelay;
     }
     if (now - this.#electionTimerStartedAt > HEARTBEAT_TIMEOUT_MILLISECONDS + rankDelay) {
@@ -318,7 +330,7 @@
     return this.#assignerStoreSilence > STORE_OUTAGE_TIMEOUT_MILLISECONDS + rankDelay;
   }
 
-  async #campaign(known: { row: AssignerRow; version: number } | undefined): Promise<void> {
+  async #campaign(known: ReadAssignerRow | undefined): Promise<void> {
     const { self, logger, hasEnded } = this.#options;
     const term = (known?.row.term ?? 0) + 1;
     this.#isStoreCallPending = true;
@@ -335,7 +347,7 @@
       const isPreviousGone =
         known === undefined ||
         known.row.hasResigned ||
-        hasEnded(known.row) ||
+        hasEnded(known.row, known) ||
         (known.row.id === self.id && known.row.incarnation !== self.incarnation);
       const now = performance.now();
       this.#leaseEndsAt = startedAt + keyOwnershipTiming.assignerLeaseMilliseconds;
