Ignore what renewers heard of the process before the present one

On the product's own interface, a server that had just started was recorded as leaving, so that it got no keys for a moment and callers of its keys waited for another owner: renewers report what the server last said to them, and one that does not reach the new process goes on reporting that the former one is leaving.

A report that a server is leaving now counts only if it names the incarnation that the assigner knows, as reports that it responds already did.

Evidence: the new test, with the renewers cut off from the server, sees the phases leaving and serving before and only serving now; without the cut it passes before as well, since renewers hear the new process at once.

--- a/packages/ownership/src/common/serverObserver.ts
+++ b/packages/ownership/src/common/serverObserver.ts
@@ -100,7 +100,10 @@
       address: this.#address,
       incarnation: state?.incarnation ?? '',
       fenceSupport: this.#grantSender.fenceSupport,
-      isLeaving: state?.isLeaving === true || reports.some(({ isLeaving }) => isLeaving),
+      isLeaving:
+        state?.isLeaving === true ||
+        // A renewer may have heard only the process before the present one.
+        reports.some((report) => report.isLeaving && report.incarnation === state?.incarnation),
       isReachable: this.#isReachable(record, sessions),
       isSuspected: record !== undefined && this.#isSuspected(record, sessions),
       acknowledgedRevision: this.#acknowledgedRevision(record, reports),
--- a/packages/ownership/src/common/test/drain.test.ts
+++ b/packages/ownership/src/common/test/drain.test.ts
@@ -35,6 +35,31 @@
       assertAllOwned(run);
     }));
 
+  it('is not taken for leaving once a new process has started at its address, which its renewers do not reach', () =>
+    runRegion(regionOptions, async (run) => {
+      const server = run.region.servers[0];
+      const address = socketAddressOf(server?.address ?? '');
+      server?.leave();
+      await run.advance(700);
+      const known = [...run.region.entryVms.values()][0]?.assignment(SERVICE);
+      for (const { id } of known?.servers.find((other) => other.address === address)?.renewers ?? []) {
+        run.region.network.partition(id, server?.address ?? '');
+      }
+      server?.restart();
+      const incarnation = server?.holder.incarnation;
+      const phases = new Set<string>();
+      for (let step = 0; step < 300; step += 1) {
+        await run.advance(10);
+        for (const control of run.region.entryVms.values()) {
+          const record = control.assignment(SERVICE)?.servers.find((other) => other.address === address);
+          if (record !== undefined && record.incarnation === incarnation) {
+            phases.add(record.phase);
+          }
+        }
+      }
+      assert.equal([...phases], ['serving']);
+    }));
+
   it('delays the transfer of a key until its request in flight has ended', () =>
     runRegion(regionOptions, async (run) => {
       const server = run.region.servers[0];
