Bound the responses that servers send to commands

An operator of a similar system reported that a faulty server which sent bytes without end filled the memory of the machine that had called it, and that the requests of other callers ended with the process. Here this could happen on the product's own interface: the client of ownership commands read the whole body as text, 401 MiB for 20 commands within their timeout of 500 ms.

Text responses are now given up beyond a bound: 256 KiB for commands, 32 MiB by default for the store and other entry VMs.

Ruled out: requests on both interfaces (faultyServers, as before), and grants and releases on the platform, whose client keeps no bytes of a body; a new test checks twelve kinds of responses without end for both commands.

Evidence: the new test of the client fails before ("body with length: memory grew by 401 MiB") and passes now; the two new tests of grants and releases pass with the client as it was.

--- a/packages/base/src/node/textRequest.ts
+++ b/packages/base/src/node/textRequest.ts
@@ -6,6 +6,14 @@
   readonly code = 'request-timeout';
 }
 
+/** A response had more bytes than its request allows. */
+export class ResponseTooLargeError extends HickoryhoistError {
+  readonly code = 'response-too-large';
+}
+
+/** Default of `maxResponseBytes`: room for a page of the platform's store, or a table of another process. */
+const DEFAULT_MAX_RESPONSE_BYTES = 33_554_432;
+
 /** A small request whose response is text. */
 export interface TextRequest {
   /** `http://host:port`. */
@@ -17,6 +25,8 @@
   readonly body?: string;
   /** Time for the connection, the request and the whole response, in milliseconds. */
   readonly timeoutMilliseconds: number;
+  /** Bytes of the body beyond which the response is given up; by default what a process that we trust may send. */
+  readonly maxResponseBytes?: number;
   /** Ends the request before its time. */
   readonly signal?: AbortSignal;
 }
@@ -29,7 +39,7 @@
 /**
  * Sends a request and reads the whole response. The HTTP client takes notice of an aborted signal only when it has a
  * connection, so the time is limited here: a connection to a machine without power is established or refused by nobody.
- * @throws RequestTimeoutError, the reason of the signal, or an error of the HTTP client.
+ * @throws RequestTimeoutError, ResponseTooLargeError, the reason of the signal, or an error of the HTTP client.
  */
 export async function requestText(dispatcher: Dispatcher, request: TextRequest): Promise<TextReply> {
   const { timeoutMilliseconds, signal } = request;
@@ -62,7 +72,7 @@
 
 async function exchange(
   dispatcher: Dispatcher,
-  { origin, method, path, headers, body }: TextRequest,
+  { origin, method, path, headers, body, maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES }: TextRequest,
   signal: AbortSignal,
 ): Promise<TextReply> {
   const response = await dispatcher.request({
@@ -73,5 +83,19 @@
     signal,
     ...(headers === undefined ? {} : { headers }),
   });
-  return { status: response.statusCode, text: await response.body.text() };
+  return { status: response.statusCode, text: await readText(response.body, maxResponseBytes) };
+}
+
+async function readText(body: AsyncIterable<unknown>, maxBytes: number): Promise<string> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of body) {
+    const bytes = chunk as Buffer;
+    length += bytes.length;
+    if (length > maxBytes) {
+      throw new ResponseTooLargeError(`more than ${maxBytes.toString()} bytes`);
+    }
+    chunks.push(bytes);
+  }
+  return Buffer.concat(chunks, length).toString('utf8');
 }
--- a/packages/ownership/src/node/httpServerClient.ts
+++ b/packages/ownership/src/node/httpServerClient.ts
@@ -11,6 +11,8 @@
 
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
+/** Bytes of the response to a command: a server names the keys on which it is still at work. */
+const MAX_RESPONSE_BYTES = 262_144;
 
 /** Sends commands over HTTP. A server without the ownership endpoint is treated as not supporting fencing. */
 export class HttpServerClient implements ServerClient {
@@ -33,6 +35,7 @@
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(command),
         timeoutMilliseconds,
+        maxResponseBytes: MAX_RESPONSE_BYTES,
       });
       switch (status) {
         case STATUS_OK:
--- a/packages/standIns/src/node/faultyServerChecks.ts
+++ b/packages/standIns/src/node/faultyServerChecks.ts
@@ -196,3 +196,42 @@
     assert.ok(growth < maxMebibytes, `memory grew by ${growth.toFixed(0)} MiB`);
   });
 }
+
+/**
+ * Checks for each kind of response without end that commands with such a response fail, and that many at once stay within
+ * a bound on memory.
+ * @param maxMebibytes bound on the growth of memory, of the heap and outside it.
+ * @param send sends one command, whose timeout is far below the deadline used.
+ */
+export async function checkEndlessCommandResponses(
+  dialect: ResponseDialect,
+  count: number,
+  maxMebibytes: number,
+  send: (address: string) => Promise<'answered' | 'failed'>,
+): Promise<void> {
+  const { endlessBehaviours } = new FaultyServerScripts(dialect);
+  for (const [name, behaviour] of Object.entries(endlessBehaviours)) {
+    await withScriptedServer(dialect, behaviour, async (server) => {
+      const before = usedMemory();
+      let peak = before;
+      const sampler = setInterval(() => {
+        peak = Math.max(peak, usedMemory());
+      }, 1);
+      const startedAt = performance.now();
+      const results = await Promise.all(Array.from({ length: count }, () => send(server.address)));
+      clearInterval(sampler);
+      assert.ok(
+        results.every((result) => result === 'failed'),
+        name,
+      );
+      assert.ok(performance.now() - startedAt < MAX_ENDLESS_MILLISECONDS, `${name}: it lasted too long`);
+      const growth = (peak - before) / BYTES_PER_MEBIBYTE;
+      assert.ok(growth < maxMebibytes, `${name}: memory grew by ${growth.toFixed(0)} MiB`);
+    });
+  }
+}
+
+function usedMemory(): number {
+  const { external, heapUsed } = process.memoryUsage();
+  return external + heapUsed;
+}
