Follow a store that comes back from an older copy

Callers' keys had no owner for as long as anybody watched after such a return, if a server had left since the copy: copies of tables refused the older content, read the table again every 10 ms or so, and assigners replaced each other.

Now - versions are ordered by era first, at the store's boundary (EraRowStore), and responses of former eras are dropped; - an assignment with a lower revision replaces none, and each era has revisions, so fences, above the former ones; - the process that held the highest term that was heard takes the next one at once; others wait for its lease, whatever the store names; an assigner that knows that it is behind asks the others before it grants; - servers, entry VMs and evacuations that the store has lost are kept for 2.4 s; servers that had left stay so; - tables of former eras are read by the readers at once, and from neighbours as a whole.

Ruled out: a step of revisions at each takeover.

A store that states no era gives the versions that it gave before, so nothing changes with it.

--- a/packages/base/src/node/textRequest.ts
+++ b/packages/base/src/node/textRequest.ts
@@ -14,6 +14,8 @@
 /** Default of `maxResponseBytes`: room for a page of the platform's store, or a table of another process. */
 const DEFAULT_MAX_RESPONSE_BYTES = 33_554_432;
 
+export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** A small request whose response is text. */
 export interface TextRequest {
   /** `http://host:port`. */
@@ -27,6 +29,8 @@
   readonly timeoutMilliseconds: number;
   /** Bytes of the body beyond which the response is given up; by default what a process that we trust may send. */
   readonly maxResponseBytes?: number;
+  /** Called with the headers of the response, with names in lower case. */
+  readonly onHeaders?: (headers: ResponseHeaders) => void;
   /** Ends the request before its time. */
   readonly signal?: AbortSignal;
 }
@@ -72,7 +76,15 @@
 
 async function exchange(
   dispatcher: Dispatcher,
-  { origin, method, path, headers, body, maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES }: TextRequest,
+  {
+    origin,
+    method,
+    path,
+    headers,
+    body,
+    onHeaders,
+    maxResponseBytes = DEFAULT_MAX_RESPONSE_BYTES,
+  }: TextRequest,
   signal: AbortSignal,
 ): Promise<TextReply> {
   const response = await dispatcher.request({
@@ -83,6 +95,7 @@
     signal,
     ...(headers === undefined ? {} : { headers }),
   });
+  onHeaders?.(response.headers);
   return { status: response.statusCode, text: await readText(response.body, maxResponseBytes) };
 }
 
--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -6,6 +6,7 @@
 import type { Candidate, RecordOfCandidate } from '@hickoryhoist/keyownership/common/assignerElection.js';
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
+import { StoreReturn } from '@hickoryhoist/store/common/storeReturn.js';
 import { DecodedRows } from './decodedRows.js';
 import { HeardProcesses } from './heardProcesses.js';
 
@@ -91,6 +92,9 @@
   #storedSelf: EntryVmRecord | undefined;
   /** Whether the table contained a row of an earlier incarnation of this entry VM, and so those of the others as well. */
   #hasRunBefore = false;
+  readonly #storeReturn = new StoreReturn();
+  /** Whether entry VMs are kept that may write their row again. */
+  #keepsMissing = false;
   readonly #decodedRows = new DecodedRows((row) => this.#parseRow(row));
   #appliedRecords: readonly EntryVmRecord[] | undefined;
   #addressById: ReadonlyMap<string, string> = new Map();
@@ -133,15 +137,19 @@
 
   /** Reads the rows of the table. Must be called after each change. */
   update(): void {
+    this.#storeReturn.observe(this.#rows.rows);
     const records = this.#decodedRows.read(this.#rows.rows);
-    if (records === this.#appliedRecords && !this.#isLeaving) {
+    if (records === this.#appliedRecords && !this.#isLeaving && !this.#keepsMissing) {
       return;
     }
     this.#appliedRecords = records;
     this.#storedSelf = records.find(({ id }) => id === this.#self.id);
     this.#hasRunBefore ||=
       this.#storedSelf !== undefined && this.#storedSelf.incarnation !== this.#self.incarnation;
-    const others = records.filter(({ id }) => id !== this.#self.id);
+    const present = records.filter(({ id }) => id !== this.#self.id);
+    const missing = this.#storeReturn.isRecent ? this.#missingFrom(present) : [];
+    this.#keepsMissing = missing.length > 0;
+    const others = [...present, ...missing];
     this.#records = [...others, ...(this.#isLeaving ? [] : [this.#self])].sort((left, right) =>
       compareText(left.id, right.id),
     );
@@ -152,6 +160,12 @@
     this.#addressById = new Map(this.#records.map(({ id, ipAddress }) => [id, ipAddress]));
   }
 
+  /** Other entry VMs that are known and not among the given ones. */
+  #missingFrom(present: readonly EntryVmRecord[]): readonly EntryVmRecord[] {
+    const ids = new Set(present.map(({ id }) => id));
+    return this.#records.filter(({ id }) => id !== this.#self.id && !ids.has(id));
+  }
+
   /** Availability zone of the entry VM at an address, if it is known. */
   availabilityZoneAt(ipAddress: string): string | undefined {
     return this.#zoneByAddress.get(ipAddress);
@@ -202,6 +216,9 @@
   /** Writes this entry VM's row if it is missing or belongs to a previous incarnation. */
   tick(): void {
     const now = performance.now();
+    if (this.#keepsMissing && !this.#storeReturn.isRecent) {
+      this.update();
+    }
     const isStored = this.#storedSelf?.incarnation === this.#self.incarnation;
     if (isStored || this.#isWriting || this.#isLeaving || !this.#rows.isLoaded) {
       return;
--- a/packages/entryVm/src/common/keyOwners.ts
+++ b/packages/entryVm/src/common/keyOwners.ts
@@ -71,6 +71,16 @@
     return this.#assignments.get(service);
   }
 
+  /** Newest revision of a service's assignment that an assigner has announced; 0 if none has. */
+  announcedRevision(service: string): number {
+    return this.#expectedRevisions.get(service) ?? 0;
+  }
+
+  /** Whether an assigner has announced a newer assignment of a service than this process knows. */
+  isBehind(service: string): boolean {
+    return this.announcedRevision(service) > (this.assignmentOf(service)?.assignment.revision ?? 0);
+  }
+
   /** The current assignments as rows of the control table. */
   assignmentRows(): readonly StoredRow[] {
     return [...this.#assignments].map(([service, { assignment, rowVersion }]) =>
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -16,6 +16,10 @@
   encodeDelta,
   type KeyAssignmentDelta,
 } from '@hickoryhoist/keyownership/common/keyAssignmentDelta.js';
+import {
+  expiryMilliseconds,
+  keyOwnershipTiming,
+} from '@hickoryhoist/keyownership/common/keyOwnershipTiming.js';
 import { KeyAssigner } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
@@ -110,8 +114,10 @@
       this.#recordTransaction(transaction, version);
     });
     this.owners = new KeyOwners((attempt) => {
-      if (attempt < NEIGHBOUR_ATTEMPTS || !health.isReachable) {
-        controlRows.readMissing(attempt);
+      // What the store has lost is known to other entry VMs only, so they are asked again after the store.
+      const turn = attempt % (NEIGHBOUR_ATTEMPTS + 1);
+      if (turn < NEIGHBOUR_ATTEMPTS || !health.isReachable) {
+        controlRows.readMissing(turn);
       } else {
         controlRows.reload();
       }
@@ -373,6 +379,10 @@
     const { grantClient, logger, serverRegistry, assignableServers } = this.#options;
     for (const service of this.#keyedServices()) {
       let assigner = this.#assigners.get(service);
+      if (assigner === undefined && this.#maySupersedeUnknownGrants(service)) {
+        this.owners.expectRevisions({});
+        continue;
+      }
       if (assigner === undefined) {
         assigner = new KeyAssigner(
           {
@@ -384,6 +394,7 @@
               isValid: () => this.#election.heldTerm === heldTerm && this.#election.hasValidLease(),
             },
             assignerRowVersion: heldTerm.rowVersion,
+            minRevision: this.owners.announcedRevision(service) + 1,
             previousLeaseEndsAt: () => this.#election.previousLeaseEndsAt,
             servers: () => assignableServers.ofService(service, this.#processingTimes),
             isAbsenceReliable: () => serverRegistry.isAbsenceReliable,
@@ -404,6 +415,16 @@
     }
   }
 
+  /**
+   * Whether servers may hold keys by an assignment that this process does not know. Load pattern: the store has come back
+   * from an older copy, and the previous assigner cannot write what was lost. Other entry VMs know it, or its grants expire.
+   */
+  #maySupersedeUnknownGrants(service: string): boolean {
+    const expiresAt =
+      this.#election.previousLeaseEndsAt + expiryMilliseconds(keyOwnershipTiming.leaseMilliseconds);
+    return this.owners.isBehind(service) && performance.now() < expiresAt;
+  }
+
   #recordTransaction({ puts }: RowTransaction, version: number): void {
     this.#readers.recordTransaction(version);
     if (puts.some(({ table }) => table === CONFIRMATION_TABLE)) {
--- a/packages/entryVm/src/common/serverIncarnations.ts
+++ b/packages/entryVm/src/common/serverIncarnations.ts
@@ -35,6 +35,11 @@
     return true;
   }
 
+  /** Whether the announcement of a server that was known is gone. */
+  hasRemoved(id: string): boolean {
+    return this.#removedAt.has(id);
+  }
+
   /** Records that a server's announcement is gone. Writes of its processes may still be performed for a while. */
   recordRemoval(id: string, now: number): void {
     this.#removedAt.set(id, now);
--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
+import { StoreReturn } from '@hickoryhoist/store/common/storeReturn.js';
 import { AnnouncedWarmups } from './announcedWarmups.js';
 import { LeavingStatements } from './leavingStatements.js';
 import { ServerIncarnations } from './serverIncarnations.js';
@@ -53,6 +54,7 @@
   readonly #logger: Logger;
   readonly #servers = new Map<string, ServerRecord>();
   readonly #versions = new Map<string, number>();
+  readonly #storeReturn = new StoreReturn();
   #retainsAbsentServers = false;
   readonly #warmups = new AnnouncedWarmups();
   readonly #incarnations = new ServerIncarnations();
@@ -74,7 +76,8 @@
     logger: Logger,
   ) {
     this.#decode = decode;
-    this.#isAbsenceReliable = () => storeReachableMilliseconds() > REANNOUNCEMENT_MILLISECONDS;
+    this.#isAbsenceReliable = () =>
+      storeReachableMilliseconds() > REANNOUNCEMENT_MILLISECONDS && !this.#storeReturn.isRecent;
     this.#logger = logger;
   }
 
@@ -130,9 +133,15 @@
    */
   update(rows: ReadonlyMap<string, StoredRow>): void {
     let isChanged = false;
+    const hasStoreReturned = this.#storeReturn.observe(rows);
     for (const [id, row] of rows) {
       if (this.#versions.get(id) !== row.version) {
         this.#versions.set(id, row.version);
+        if (hasStoreReturned && this.#incarnations.hasRemoved(id)) {
+          // It counts again once the server writes it again.
+          this.#logger.log('info', 'server-announcement-returned', { server: id });
+          continue;
+        }
         isChanged = this.#applyRow(id, row.value) || isChanged;
       }
     }
--- a/packages/entryVm/src/common/storeReaders.ts
+++ b/packages/entryVm/src/common/storeReaders.ts
@@ -1,5 +1,6 @@
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import { KnownTransactions } from '@hickoryhoist/store/common/knownTransactions.js';
+import { eraOf } from '@hickoryhoist/store/common/storeVersion.js';
 import type { FeedChanges, TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import { toChangeMessages } from './changeMessages.js';
 import type { EntryVmRecord } from './entryVmRegistry.js';
@@ -144,6 +145,7 @@
       table.setSource(this.#isReader ? 'feed' : 'relay');
     }
     if (this.#isReader) {
+      pollTablesOfFormerEras([...tables.values()]);
       this.#readUnconfirmedTables(now);
     }
     const confirmedAt = this.#confirmedAt();
@@ -459,6 +461,20 @@
   }
 }
 
+/**
+ * Reads the feeds of the tables whose copy is of a former era. Load pattern: the store comes back from an older copy while
+ * waits for changes are pending, which may never return.
+ */
+function pollTablesOfFormerEras(tables: readonly TableWatcher[]): void {
+  const eras = tables.map(({ version }) => (version === undefined ? 0 : eraOf(version)));
+  const newest = Math.max(...eras);
+  tables
+    .filter((_table, index) => (eras[index] ?? 0) < newest)
+    .forEach((table) => {
+      table.poll();
+    });
+}
+
 /** Times since the given moments by identifier, in milliseconds; for logs. */
 function formatAges(times: ReadonlyMap<string, number>, now: number): string {
   return [...times].map(([id, at]) => `${id}:${Math.round(now - at).toString()}`).join(',');
--- a/packages/entryVm/src/common/test/entryVmRegistry.test.ts
+++ b/packages/entryVm/src/common/test/entryVmRegistry.test.ts
@@ -23,6 +23,7 @@
 /** A process of an entry VM whose copy of the table is read when it is polled. */
 class Process {
   readonly registry: EntryVmRegistry;
+  readonly poll: () => void;
   #rows: ReadonlyMap<string, StoredRow> = new Map();
 
   constructor(store: MemoryRowStore, id: string, incarnation: string) {
@@ -43,6 +44,7 @@
       readMissing: poll,
     };
     this.registry = new EntryVmRegistry({ id, ...recordOf(incarnation) }, client, table, silentLogger);
+    this.poll = poll;
     poll();
   }
 }
@@ -121,6 +123,24 @@
       }));
   });
 
+  describe('when the store comes back from an older copy', () => {
+    it('keeps the entry VMs that may write their rows again, and writes its own', () =>
+      withStore(async (store, advance) => {
+        store.put(CONTROL_TABLE, 'row', '');
+        const copy = store.takeCopy();
+        putOtherRow(store, 'present');
+        const process = new Process(store, 'vm-1', 'self');
+        await advance(3_000, process);
+        store.returnFrom(copy);
+        process.poll();
+        await advance(1_000, process);
+        assert.match(store.row(CONTROL_TABLE, 'entry-vm/vm-1')?.value ?? '', 'self');
+        assert.is(process.registry.entryVms().length, 2);
+        await advance(3_000, process);
+        assert.is(process.registry.entryVms().length, 1);
+      }));
+  });
+
   describe('when the store performs the writes of a former process late', () => {
     it('keeps the row of the present one', () =>
       withStore(async (store, advance) => {
--- a/packages/entryVm/src/common/test/serverRegistry.test.ts
+++ b/packages/entryVm/src/common/test/serverRegistry.test.ts
@@ -4,6 +4,7 @@
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { StoreHealth } from '@hickoryhoist/store/common/storeHealth.js';
+import { versionOfEra } from '@hickoryhoist/store/common/storeVersion.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { ServerRegistry } from '../serverRegistry.js';
 
@@ -159,6 +160,50 @@
     });
   });
 
+  describe('when the store comes back from an older copy', () => {
+    const returned = (version: number): number => versionOfEra(1, version);
+
+    it('keeps servers that the store has lost until they should have announced themselves again', async () => {
+      await withRegistry(async (registry, health, clock) => {
+        health.recordSuccess();
+        registry.update(rowsOf('a', 'b'));
+        await clock.tickAsync(10_000);
+        const copy = new Map([['a', { table: 'servers', key: 'a', value: 'a', version: returned(1) }]]);
+        registry.update(copy);
+        await clock.tickAsync(REANNOUNCEMENT_MILLISECONDS);
+        registry.update(copy);
+        assert.equal([...registry.servers.keys()], ['a', 'b']);
+        await clock.tickAsync(1_000);
+        registry.update(copy);
+        assert.equal([...registry.servers.keys()], ['a']);
+      });
+    });
+
+    it('takes no server that had left for ready until it writes again', async () => {
+      await withRegistry(async (registry, health, clock) => {
+        health.recordSuccess();
+        registry.update(rowOf(20, 1));
+        await clock.tickAsync(10_000);
+        registry.update(new Map());
+        registry.update(rowOf(20, returned(1)));
+        assert.is(registry.servers.get('a'), undefined);
+        registry.update(rowOf(20, returned(2)));
+        assert.is(registry.servers.get('a')?.phase, 'ready');
+      });
+    });
+
+    it('keeps a server leaving that the store has ready', async () => {
+      await withRegistry(async (registry, health) => {
+        health.recordSuccess();
+        registry.update(rowOf(20, 1));
+        registry.update(rowOf(20, 2, 'leaving'));
+        registry.update(rowOf(20, returned(1)));
+        await Promise.resolve();
+        assert.is(registry.servers.get('a')?.phase, 'leaving');
+      });
+    });
+  });
+
   describe('when a server states that it is leaving before its incarnation is known', () => {
     const BORN = 1_000;
 
--- a/packages/entryVm/src/common/test/zoneEvacuations.test.ts
+++ b/packages/entryVm/src/common/test/zoneEvacuations.test.ts
@@ -3,6 +3,7 @@
 import type { ServerRecord } from '@hickoryhoist/dispatch/common/serverRecord.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
+import { versionOfEra } from '@hickoryhoist/store/common/storeVersion.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import { AvailableServers } from '../availableServers.js';
 import { ServerRegistry } from '../serverRegistry.js';
@@ -85,6 +86,16 @@
     this.evacuations.update(this.#rows);
   }
 
+  /** The store comes back from a copy that lacks a row. */
+  returnStore(lostKey: string): void {
+    this.#rows.delete(lostKey);
+    this.#version = versionOfEra(1, 1);
+    for (const [key, row] of this.#rows) {
+      this.#rows.set(key, { ...row, version: this.#version });
+    }
+    this.evacuations.update(this.#rows);
+  }
+
   advance(milliseconds: number): void {
     this.clock.tick(milliseconds);
     this.evacuations.tick(performance.now());
@@ -141,6 +152,35 @@
     });
   });
 
+  describe('when the store comes back from an older copy that lacks one', () => {
+    it('stay in force for as long as the operator may take to write them again, and end after it', () => {
+      withScenario((scenario) => {
+        scenario.put('configuration');
+        scenario.put('leave/zone-1');
+        scenario.advance(5_000);
+        scenario.returnStore('leave/zone-1');
+        scenario.advance(2_000);
+        assert.is(scenario.evacuations.phaseOf('zone-1'), 'closed');
+        scenario.advance(1_000);
+        assert.is(scenario.evacuations.phaseOf('zone-1'), undefined);
+      });
+    });
+
+    it('stay in force without a break if the operator writes them again', () => {
+      withScenario((scenario) => {
+        scenario.put('configuration');
+        scenario.put('leave/zone-1');
+        scenario.advance(5_000);
+        scenario.returnStore('leave/zone-1');
+        scenario.advance(1_500);
+        scenario.put('leave/zone-1');
+        scenario.advance(5_000);
+        assert.is(scenario.evacuations.phaseOf('zone-1'), 'closed');
+        assert.is(scenario.events.includes('evacuation-ended'), false);
+      });
+    });
+  });
+
   it('leave servers that warm up again, if the service has limits for cold servers', () => {
     withScenario((scenario) => {
       const warmups = (): readonly number[] =>
--- a/packages/entryVm/src/common/zoneEvacuations.ts
+++ b/packages/entryVm/src/common/zoneEvacuations.ts
@@ -2,6 +2,7 @@
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { StoredRow } from '@hickoryhoist/store/common/rowStore.js';
+import { StoreReturn } from '@hickoryhoist/store/common/storeReturn.js';
 
 /** Time for which owners in an evacuated zone still serve their keys, from when this process learned of it. */
 const EMPTYING_MILLISECONDS = 1_500;
@@ -36,6 +37,9 @@
   /** Versions of rows that could not be read, by key; each is logged once. */
   readonly #unreadable = new Map<string, number>();
   #hasRows = false;
+  readonly #storeReturn = new StoreReturn();
+  /** The last rows if they lack an evacuation that the operator may write again. */
+  #incompleteRows: ReadonlyMap<string, StoredRow> | undefined;
   readonly #onDidChange = new Emitter<void>();
 
   /** Fires when an evacuation begins, ends or changes its phase. */
@@ -72,8 +76,11 @@
 
   /** Updates the evacuations from all rows of the operator's table. Must be called after each change. */
   update(rows: ReadonlyMap<string, StoredRow>): void {
+    this.#storeReturn.observe(rows);
     const requested = this.#readZones(rows);
-    const ended = this.zones.filter((zone) => !requested.has(zone));
+    const missing = this.zones.filter((zone) => !requested.has(zone));
+    this.#incompleteRows = missing.length > 0 && this.#storeReturn.isRecent ? rows : undefined;
+    const ended = this.#incompleteRows === undefined ? missing : [];
     const started = [...requested].filter((zone) => !this.#evacuations.has(zone));
     const now = performance.now();
     for (const zone of ended) {
@@ -96,6 +103,9 @@
 
   /** Closes zones that have been emptying for long enough. Called several times a second. */
   tick(now: number): void {
+    if (this.#incompleteRows !== undefined && !this.#storeReturn.isRecent) {
+      this.update(this.#incompleteRows);
+    }
     this.#checkZones(now);
     const due = [...this.#evacuations].filter(
       ([, { phase, startedAt }]) => phase === 'emptying' && now - startedAt >= EMPTYING_MILLISECONDS,
--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -6,6 +6,7 @@
 import { LeaseClock } from '@hickoryhoist/base/common/leaseClock.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
+import { eraOf } from '@hickoryhoist/store/common/storeVersion.js';
 import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
 import { ASSIGNER_ROW_KEY, CONTROL_TABLE } from './assignmentStore.js';
 import { keyOwnershipTiming } from './keyOwnershipTiming.js';
@@ -107,6 +108,8 @@
   /** Reset by each heartbeat, at the start of a campaign and on stepping down. */
   #electionTimerStartedAt = performance.now();
   #highestSeenTerm = 0;
+  /** Term that this process held last. */
+  #lastHeldTerm = 0;
   #assignerStoreSilence = 0;
   #isStoreCallPending = false;
   #nextConfirmationAt = 0;
@@ -208,8 +211,12 @@
 
   tick(): void {
     const row = this.#readRow();
-    if (this.#heldTerm !== undefined && row !== undefined && row.row.term > this.#heldTerm.term) {
-      this.stepDown(`the store records term ${row.row.term.toString()}`);
+    if (this.#heldTerm !== undefined && row !== undefined) {
+      if (row.row.term > this.#heldTerm.term) {
+        this.stepDown(`the store records term ${row.row.term.toString()}`);
+      } else if (eraOf(row.version) > eraOf(this.#heldTerm.rowVersion)) {
+        this.stepDown('the store has come back from an older copy');
+      }
     }
     this.#delayElectionTimer();
     if (this.#isStoreCallPending) {
@@ -318,6 +325,9 @@
     if (!isStoreReachable() || !isRankKnown()) {
       return false;
     }
+    if (known !== undefined && this.#wasLastAssigner(known)) {
+      return true;
+    }
     const now = performance.now();
     const rankDelay = rank() * RANK_DELAY_MILLISECONDS;
     const hasNoAssigner = known === undefined || known.row.hasResigned || hasEnded(known.row, known);
@@ -330,9 +340,46 @@
     return this.#assignerStoreSilence > STORE_OUTAGE_TIMEOUT_MILLISECONDS + rankDelay;
   }
 
+  /**
+   * Whether this process was the assigner until now, by all that it has heard, although it does not hold the term that the
+   * store records. It campaigns at once then. Load pattern: the store has come back from an older copy, and all processes
+   * find a record there that may be an old one.
+   */
+  #wasLastAssigner(known: ReadAssignerRow): boolean {
+    const { self } = this.#options;
+    const { id, incarnation, term, hasResigned } = known.row;
+    const isOwnRecord = id === self.id && incarnation === self.incarnation && !hasResigned;
+    return (
+      this.#lastHeldTerm > 0 &&
+      this.#lastHeldTerm === this.#highestSeenTerm &&
+      (this.#isRecordLost(known) || (isOwnRecord && term === this.#lastHeldTerm))
+    );
+  }
+
+  /** Whether the store has lost the newest record of the assigner, so that it does not name the previous one. */
+  #isRecordLost({ row }: ReadAssignerRow): boolean {
+    return row.term < this.#highestSeenTerm;
+  }
+
+  /** Whether the previous assigner sends no further commands. */
+  #isPreviousGone(known: ReadAssignerRow | undefined): boolean {
+    const { self, hasEnded } = this.#options;
+    if (known === undefined) {
+      return this.#highestSeenTerm === this.#lastHeldTerm;
+    }
+    if (this.#isRecordLost(known)) {
+      return this.#highestSeenTerm === this.#lastHeldTerm;
+    }
+    const { row } = known;
+    const isOwn =
+      row.id === self.id && (row.incarnation !== self.incarnation || this.#wasLastAssigner(known));
+    return row.hasResigned || isOwn || hasEnded(row, known);
+  }
+
   async #campaign(known: ReadAssignerRow | undefined): Promise<void> {
-    const { self, logger, hasEnded } = this.#options;
-    const term = (known?.row.term ?? 0) + 1;
+    const { self, logger } = this.#options;
+    // A record that the store has lost may name a higher term than the present one.
+    const term = Math.max(known?.row.term ?? 0, this.#highestSeenTerm) + 1;
     this.#isStoreCallPending = true;
     this.#electionTimerStartedAt = performance.now();
     this.#assignerStoreSilence = 0;
@@ -344,11 +391,7 @@
         logger.log('info', 'election-lost', { term });
         return;
       }
-      const isPreviousGone =
-        known === undefined ||
-        known.row.hasResigned ||
-        hasEnded(known.row, known) ||
-        (known.row.id === self.id && known.row.incarnation !== self.incarnation);
+      const isPreviousGone = this.#isPreviousGone(known);
       const now = performance.now();
       this.#leaseEndsAt = startedAt + keyOwnershipTiming.assignerLeaseMilliseconds;
       this.#confirmedAt = startedAt;
@@ -358,9 +401,10 @@
       this.#heldTerm = {
         term,
         rowVersion: version,
-        previousAssigner: isPreviousGone ? undefined : known.row,
+        previousAssigner: isPreviousGone ? undefined : known?.row,
       };
       this.#highestSeenTerm = term;
+      this.#lastHeldTerm = term;
       logger.log('info', 'assigner-elected', { term, former: known?.row.id, isFormerGone: isPreviousGone });
       this.#onDidChange.fire(this.#heldTerm);
     } catch (error) {
--- a/packages/keyOwnership/src/common/assignmentStore.ts
+++ b/packages/keyOwnership/src/common/assignmentStore.ts
@@ -1,6 +1,7 @@
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
+import { eraOf } from '@hickoryhoist/store/common/storeVersion.js';
 import { decodeAssignment, encodeAssignment } from './assignmentRow.js';
 import type { KeyAssignment } from './keyAssignment.js';
 
@@ -28,7 +29,10 @@
   return { table: CONTROL_TABLE, key, value: encodeAssignment(assignment), version: rowVersion };
 }
 
-/** Merges newer rows into the known assignments. A row that cannot be decoded leaves the known assignment in place. */
+/**
+ * Merges newer rows into the known assignments. A row that cannot be decoded leaves the known assignment in place, and so
+ * does one with a lower revision: the store has come back from an older copy, and servers may hold keys by what it lost.
+ */
 export function readAssignments(
   rows: ReadonlyMap<string, StoredRow>,
   known: ReadonlyMap<string, StoredAssignment>,
@@ -37,12 +41,14 @@
   const assignments = new Map(known);
   for (const [key, row] of rows) {
     const service = key.slice(ASSIGNMENT_PREFIX.length);
-    if (!isAssignmentRowKey(key) || row.version <= (known.get(service)?.rowVersion ?? 0)) {
+    if (!isAssignmentRowKey(key) || !mayBeNewer(row, known.get(service))) {
       continue;
     }
     try {
-      const assignment = decodeAssignment(key, row.value);
-      assignments.set(service, { assignment, rowVersion: row.version });
+      const stored = decodeAssignment(key, row.value);
+      const newest = known.get(service)?.assignment;
+      const isLost = newest !== undefined && newest.revision > stored.revision;
+      assignments.set(service, { assignment: isLost ? newest : stored, rowVersion: row.version });
     } catch (error) {
       logger.log('error', 'assignment-unreadable', { row: key, reason: describeError(error) });
     }
@@ -50,6 +56,15 @@
   return assignments;
 }
 
+/**
+ * Whether a row may hold a newer assignment than the known one. After the store has come back from an older copy, the row
+ * of another process may have the same version and an assignment that the store has lost.
+ */
+function mayBeNewer({ version }: StoredRow, known: StoredAssignment | undefined): boolean {
+  const knownVersion = known?.rowVersion ?? 0;
+  return version > knownVersion || (version === knownVersion && eraOf(version) > 0);
+}
+
 /**
  * Writes an assignment on condition that neither its row nor the assigner's row has changed.
  * @returns the new version of the row, or undefined on conflict.
--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -1,6 +1,7 @@
 import { describeError, InvariantError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
+import { eraOf } from '@hickoryhoist/store/common/storeVersion.js';
 import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
 import { encodeAssignment } from './assignmentRow.js';
 import { readAssignmentRow, type StoredAssignment, writeAssignment } from './assignmentStore.js';
@@ -38,6 +39,11 @@
 const STARTUP_QUIET_MILLISECONDS = 800;
 /** Time after the first registered server at which the first keys are assigned in any case, in milliseconds. */
 const STARTUP_TIMEOUT_MILLISECONDS = 4_000;
+/**
+ * Revisions of one era of the store, more than are written in it: an assigner writes some in a second. Each era begins
+ * above the former one, since the store may have lost revisions, and their fences, that nobody here knows.
+ */
+const REVISIONS_PER_ERA = 10_000_000;
 /** Maximum number of ranges per server, averaged over the service. */
 const MAX_RANGES_PER_SERVER = 6;
 /** Maximum number of ranges of a service. One process renews the lease of each range once a second. */
@@ -64,6 +70,8 @@
   readonly assignerLease: AssignerLease;
   /** Version of the row that records this process as the assigner. */
   readonly assignerRowVersion: number;
+  /** Lowest revision of the first assignment that is written. */
+  readonly minRevision: number;
   /** Time at which the lease of the previous assigner ends, on the monotonic clock. */
   readonly previousLeaseEndsAt: () => number;
   /** Servers of the service by id. */
@@ -302,7 +310,7 @@
 
   /** Renews all leases under new fences, so that servers reject late commands of the previous assigner. */
   #planTakeover(): PendingWrite {
-    const revision = this.#writtenAssignment.revision + 1;
+    const revision = this.#nextRevision();
     const previousCommandsExpireAt = (): number =>
       this.#options.previousLeaseEndsAt() + expiryMilliseconds(keyOwnershipTiming.leaseMilliseconds);
     const ranges = this.#writtenAssignment.ranges.map((range) => ({ ...range, fence: revision }));
@@ -310,8 +318,15 @@
     return { assignment: { revision, ranges }, leases };
   }
 
+  /** A revision above all that may have been written. */
+  #nextRevision(): number {
+    const { minRevision, assignerRowVersion } = this.#options;
+    const firstOfEra = eraOf(assignerRowVersion) * REVISIONS_PER_ERA;
+    return Math.max(this.#writtenAssignment.revision + 1, minRevision, firstOfEra);
+  }
+
   #planWrite(now: number, servers: ReadonlyMap<string, RegisteredServer>): PendingWrite | undefined {
-    const revision = this.#writtenAssignment.revision + 1;
+    const revision = this.#nextRevision();
     const free: FreeRange[] = [];
     const freed: RangeLease[] = [];
     const kept: RangeLease[] = [];
--- a/packages/keyOwnership/src/common/test/assignmentRow.test.ts
+++ b/packages/keyOwnership/src/common/test/assignmentRow.test.ts
@@ -4,10 +4,12 @@
 import { decodeAssignment, encodeAssignment } from '../assignmentRow.js';
 import type { KeyAssignment } from '../keyAssignment.js';
 
+/** Fences after a thousand returns of the store from an older copy. */
+const FENCES_AFTER_RETURNS = 10_000_000_000;
 /** Maximum size of a row's value, in bytes. */
 const ROW_BYTES = 65_536;
 
-function assignmentOf(servers: number, ranges: number): KeyAssignment {
+function assignmentOf(servers: number, ranges: number, firstFence = 1_000): KeyAssignment {
   const width = Math.floor(65_536 / ranges);
   return {
     revision: 1_234,
@@ -17,7 +19,7 @@
       ownerId: `i-${(0xa0000000 + (index % servers)).toString(16)}ff`,
       ownerIncarnation: 1_790_000_000_000 + (index % servers),
       ownerAddress: `10.12.134.${(index % servers).toString()}:18704`,
-      fence: 1_000 + index,
+      fence: firstFence + index,
     })),
   };
 }
@@ -40,6 +42,11 @@
     assert.ok(bytes <= ROW_BYTES, `${bytes.toString()} bytes`);
   });
 
+  it('fits the largest assignment into a row also after many returns of the store', () => {
+    const bytes = Buffer.byteLength(encodeAssignment(assignmentOf(250, 600, FENCES_AFTER_RETURNS)));
+    assert.ok(bytes <= ROW_BYTES, `${bytes.toString()} bytes`);
+  });
+
   it('rejects a range whose owner index is out of bounds', () => {
     const value = JSON.stringify({ revision: 1, owners: [], ranges: [[0, 9, 0, 1]] });
     assert.throws(
--- a/packages/keyOwnership/src/common/test/fakes/keyAssignerRig.ts
+++ b/packages/keyOwnership/src/common/test/fakes/keyAssignerRig.ts
@@ -49,6 +49,7 @@
         },
         assignerLease: { isValid: () => true },
         assignerRowVersion: this.store.row(CONTROL_TABLE, ASSIGNER_ROW_KEY)?.version ?? 0,
+        minRevision: 0,
         previousLeaseEndsAt: () => 0,
         servers: () => this.#registered,
         isAbsenceReliable: () => true,
--- a/packages/standIns/src/common/emulator/keyedServers.ts
+++ b/packages/standIns/src/common/emulator/keyedServers.ts
@@ -84,6 +84,11 @@
     return { kind: 'granted' };
   }
 
+  /** Whether the server has seen a fence on some of the keys that is not below another one. */
+  hasSeenFence({ from, to, fence }: Pick<KeyGrant, 'from' | 'to' | 'fence'>): boolean {
+    return this.#fencesSeen.some((seen) => seen.from <= to && from <= seen.to && seen.fence >= fence);
+  }
+
   release({ from, to }: KeyRelease): void {
     this.#grantedRanges = this.#grantedRanges.flatMap((granted) => {
       if (granted.to < from || to < granted.from) {
@@ -105,6 +110,8 @@
   /** Senders, each with a server, whose kept connection a network partition has broken. */
   readonly #brokenConnections = new Set<string>();
   grantCount = 0;
+  /** Grants under a fence that another server had already seen on the same keys. */
+  readonly reusedFences: string[] = [];
 
   add(id: string): KeyedServer {
     const server = new KeyedServer(id);
@@ -157,6 +164,7 @@
     const { incarnation } = server;
     switch (server.condition.kind) {
       case 'answering':
+        this.#checkFence(server, grant);
         return server.apply(grant, arrivedAt);
       case 'late':
         setTimeout(() => {
@@ -172,6 +180,16 @@
     }
   }
 
+  #checkFence(server: KeyedServer, grant: KeyGrant): void {
+    for (const other of this.servers.values()) {
+      if (other !== server && other.isUp && !server.hasSeenFence(grant) && other.hasSeenFence(grant)) {
+        const { from, to, fence } = grant;
+        const keys = `${from.toString()} to ${to.toString()}`;
+        this.reusedFences.push(`fence ${fence.toString()} on ${keys} at ${server.id} after ${other.id}`);
+      }
+    }
+  }
+
   async release(
     { serverId }: ServerEndpoint,
     release: KeyRelease,
--- a/packages/standIns/src/common/emulator/memoryRowStore.ts
+++ b/packages/standIns/src/common/emulator/memoryRowStore.ts
@@ -8,6 +8,13 @@
   TableChanges,
   TableSnapshot,
 } from '@hickoryhoist/store/common/rowStore.js';
+import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import {
+  type EraResponse,
+  EraRowStore,
+  type RowStoreWithEras,
+} from '@hickoryhoist/store/common/eraRowStore.js';
+import { versionOfEra } from '@hickoryhoist/store/common/storeVersion.js';
 import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
 
 const RESPONSE_MILLISECONDS = 4;
@@ -27,18 +34,30 @@
   /** Writes are applied after this time, but their responses are lost. */
   | { readonly kind: 'responses-lost'; readonly appliedAfterMilliseconds: number };
 
-interface Change {
+/** A change of a row, for the feed. */
+export interface Change {
   readonly table: string;
   readonly key: string;
   readonly version: number;
 }
 
-/** In-memory emulator of the platform's table store, with outages, lost responses and lost change history. */
+/** A copy of the store from which it may come back. */
+export interface StoreCopy {
+  readonly rows: ReadonlyMap<string, StoredRow>;
+  readonly changes: readonly Change[];
+  readonly version: number;
+}
+
+/**
+ * In-memory emulator of the platform's table store, with outages, lost responses, lost change history, and returns from an
+ * older copy of itself.
+ */
 export class MemoryRowStore {
   readonly #rows = new Map<string, StoredRow>();
   readonly #onDidWrite = new Emitter<void>();
   #changes: Change[] = [];
   #version = 0;
+  #era = 0;
   #historyStartVersion = 0;
   #calls = 0;
   #condition: StoreCondition = { kind: 'working' };
@@ -92,6 +111,20 @@
     this.#changes = [];
   }
 
+  takeCopy(): StoreCopy {
+    return { rows: new Map(this.#rows), changes: [...this.#changes], version: this.#version };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its versions are given out again. */
+  returnFrom({ rows, changes, version }: StoreCopy): void {
+    this.#rows.clear();
+    rows.forEach((row, id) => this.#rows.set(id, row));
+    this.#changes = [...changes];
+    this.#version = version;
+    this.#era += 1;
+    this.#onDidWrite.fire();
+  }
+
   /** Writes a row directly, as an operator or a server would; the store's condition doesn't matter. */
   put(table: string, key: string, value: string): void {
     this.#apply({ expected: [], puts: [{ table, key, value }], deletes: [] });
@@ -101,13 +134,33 @@
     this.#apply({ expected: [], puts: [], deletes: [{ table, key }] });
   }
 
+  /** A row with its version as callers of the store see it. */
   row(table: string, key: string): StoredRow | undefined {
-    return this.#rows.get(rowId(table, key));
+    const row = this.#rows.get(rowId(table, key));
+    return row === undefined ? undefined : { ...row, version: versionOfEra(this.#era, row.version) };
   }
 
   /** Creates a client for one caller, with a call count of its own. */
   connect(caller: string): RowStore & { readonly calls: number } {
+    const connection = this.connectWithEras(caller);
+    const store = new EraRowStore(connection, silentLogger);
+    return {
+      get calls() {
+        return connection.calls;
+      },
+      readTable: (table) => store.readTable(table),
+      waitForChanges: (table, after, wait, signal) => store.waitForChanges(table, after, wait, signal),
+      transactRows: (transaction) => store.transactRows(transaction),
+    };
+  }
+
+  /** Creates a client whose versions are those of one era, as the store states them. */
+  connectWithEras(caller: string): RowStoreWithEras & { readonly calls: number } {
     let calls = 0;
+    const respond = <T>(value: T): EraResponse<T> => ({
+      era: { kind: 'stated', era: this.#era },
+      value,
+    });
     const emulateCall = async (signal?: AbortSignal): Promise<void> => {
       calls += 1;
       this.#calls += 1;
@@ -132,7 +185,7 @@
       },
       readTable: async (table) => {
         await emulateCall();
-        return this.#snapshot(table);
+        return respond(this.#snapshot(table));
       },
       waitForChanges: async (table, afterVersion, waitMilliseconds, signal) => {
         await emulateCall(signal);
@@ -148,11 +201,11 @@
           const failsAt = startedAt + waitMilliseconds + SILENT_CALL_TIMEOUT_MILLISECONDS;
           await this.#failSilently(failsAt - performance.now(), signal);
         }
-        return changes;
+        return respond(changes);
       },
       transactRows: async (transaction) => {
         await emulateCall();
-        return this.#transact(transaction);
+        return respond(await this.#transact(transaction));
       },
     };
   }
@@ -204,7 +257,7 @@
       if (signal?.aborted === true) {
         throw new PlatformUnavailableError('the wait was aborted', false);
       }
-      if (afterVersion < this.#historyStartVersion) {
+      if (afterVersion < this.#historyStartVersion || afterVersion > this.#version) {
         return { kind: 'history-lost' };
       }
       const keys = new Set(
--- a/packages/store/src/common/tableCopy.ts
+++ b/packages/store/src/common/tableCopy.ts
@@ -1,4 +1,5 @@
 import type { StoredRow, TableChanges, TableSnapshot } from './rowStore.js';
+import { eraOf } from './storeVersion.js';
 
 /** Number of deletions to remember for processes that read changes from this one. */
 const MAX_DELETIONS = 500;
@@ -106,6 +107,10 @@
     if (version === undefined || (after !== 0 && after < this.#deletionsCompleteFrom)) {
       return undefined;
     }
+    if (after !== 0 && eraOf(after) < eraOf(version)) {
+      // The other process may have rows that the store has lost and this copy never had.
+      return undefined;
+    }
     return {
       kind: 'changes',
       rows: [...this.#rows.values()].filter((row) => row.version > after),
--- a/packages/store/src/common/test/tableCopy.test.ts
+++ b/packages/store/src/common/test/tableCopy.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { StoredRow, TableSnapshot } from '../rowStore.js';
+import { versionOfEra } from '../storeVersion.js';
 import { TableCopy } from '../tableCopy.js';
 
 const TABLE = 'control';
@@ -25,6 +26,20 @@
 }
 
 describe('TableCopy', () => {
+  describe('when the store has come back from an older copy', () => {
+    const rowOf = (key: string, version: number): StoredRow => ({ table: TABLE, key, value: '', version });
+
+    it('shows what the store has, and lists no changes since a version of the former era', () => {
+      const copy = new TableCopy();
+      copy.applySnapshot({ rows: [rowOf('kept', 3), rowOf('lost', 7)], version: 7 });
+      copy.applySnapshot({ rows: [rowOf('kept', versionOfEra(1, 3))], version: versionOfEra(1, 4) });
+      assert.equal([...copy.rows.keys()], ['kept']);
+      assert.is(copy.changesAfter(7), undefined);
+      assert.is(copy.changesAfter(0)?.rows.length, 1);
+      assert.is(copy.changesAfter(versionOfEra(1, 3))?.rows.length, 0);
+    });
+  });
+
   it('shows its newest version whatever older reads of the whole table arrive in between', () => {
     const change = fc.record({ key: fc.constantFrom('a', 'b', 'c'), isDeleted: fc.boolean() });
     const step = fc.record({ isWhole: fc.boolean(), age: fc.nat({ max: 5 }), advance: fc.nat({ max: 3 }) });
