Wait for an assigner that the store has recorded and lost

It campaigned at once and did not wait for the lease of its successor, because only heartbeats counted as news of a term, and it may be cut off from those.

The highest term that the store has recorded now counts as well, for the next term and for whether the previous assigner has stopped. Without a return of the store that term is never above the recorded one, so nothing changes then.

--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -108,6 +108,8 @@
   /** Reset by each heartbeat, at the start of a campaign and on stepping down. */
   #electionTimerStartedAt = performance.now();
   #highestSeenTerm = 0;
+  /** Highest term that the store has recorded. It may have lost the record since. */
+  #highestRecordedTerm = 0;
   /** Term that this process held last. */
   #lastHeldTerm = 0;
   #assignerStoreSilence = 0;
@@ -301,6 +303,7 @@
         version: stored.version,
         knownSince: performance.now(),
       };
+      this.#highestRecordedTerm = Math.max(this.#highestRecordedTerm, this.#lastReadRow.row.term);
       return this.#lastReadRow;
     } catch (error) {
       this.#options.logger.log('error', 'assigner-row-unreadable', { reason: describeError(error) });
@@ -351,24 +354,25 @@
     const isOwnRecord = id === self.id && incarnation === self.incarnation && !hasResigned;
     return (
       this.#lastHeldTerm > 0 &&
-      this.#lastHeldTerm === this.#highestSeenTerm &&
+      this.#lastHeldTerm === this.#highestKnownTerm &&
       (this.#isRecordLost(known) || (isOwnRecord && term === this.#lastHeldTerm))
     );
   }
 
   /** Whether the store has lost the newest record of the assigner, so that it does not name the previous one. */
   #isRecordLost({ row }: ReadAssignerRow): boolean {
-    return row.term < this.#highestSeenTerm;
+    return row.term < this.#highestKnownTerm;
+  }
+
+  get #highestKnownTerm(): number {
+    return Math.max(this.#highestSeenTerm, this.#highestRecordedTerm);
   }
 
   /** Whether the previous assigner sends no further commands. */
   #isPreviousGone(known: ReadAssignerRow | undefined): boolean {
     const { self, hasEnded } = this.#options;
-    if (known === undefined) {
-      return this.#highestSeenTerm === this.#lastHeldTerm;
-    }
-    if (this.#isRecordLost(known)) {
-      return this.#highestSeenTerm === this.#lastHeldTerm;
+    if (known === undefined || this.#isRecordLost(known)) {
+      return this.#highestKnownTerm === this.#lastHeldTerm;
     }
     const { row } = known;
     const isOwn =
@@ -379,7 +383,7 @@
   async #campaign(known: ReadAssignerRow | undefined): Promise<void> {
     const { self, logger } = this.#options;
     // A record that the store has lost may name a higher term than the present one.
-    const term = Math.max(known?.row.term ?? 0, this.#highestSeenTerm) + 1;
+    const term = Math.max(known?.row.term ?? 0, this.#highestKnownTerm) + 1;
     this.#isStoreCallPending = true;
     this.#electionTimerStartedAt = performance.now();
     this.#assignerStoreSilence = 0;
