Show responses that are broken off for bodies which are still arriving

Callers: while three uploads of 32 MB arrive at an entry VM, it closes 6 or 7 of 10 kept connections in the middle of responses that servers have given to look-ups (LOST). The uploads, which have not run, are kept.

Code: MemoryBudget.hold() discards held responses when the reserved bodies of requests fill the budget; CallerServer accepts requests without a body whatever is left.

--- a/review/rig-2/rig.mjs
+++ b/review/rig-2/rig.mjs
@@ -320,6 +320,7 @@
   ) {
     const id = `a${(this.#nextRequest++).toString(16).padStart(8, '0')}`;
     const sentAt = performance.now();
+    this.record.note('sent', { id, vm: vm.name, method, path, key });
     const headers = {
       host,
       'x-hickoryhoist-attempt-id': id,
