Move what entry VMs report about keys out of the ownership controller

The controller kept the keys of recent requests, the traffic windows of all services and the reported processing times beside the election and the assigners.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -30,7 +30,7 @@
 import type { TableWatcher } from '@hickoryhoist/store/common/tableWatcher.js';
 import type { AssignableServers } from './assignableServers.js';
 import { KeyOwners } from './keyOwners.js';
-import { KeyTrafficWindow } from '@hickoryhoist/keyownership/common/keyTrafficWindow.js';
+import { KeyTrafficReports } from './keyTrafficReports.js';
 import type { EntryVmRegistry, EntryVmRecord } from './entryVmRegistry.js';
 import type { PeerMessage } from './peerMessage.js';
 import type { ServerRegistry } from './serverRegistry.js';
@@ -40,8 +40,6 @@
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 200;
 const REPORT_INTERVAL_MILLISECONDS = 400;
-/** Limit for each service. If there are more requests in the interval, the first ones serve as a sample. */
-const MAX_KEYS_PER_REPORT = 120;
 /**
  * Other entry VMs read a larger delta from a neighbour instead of receiving it by datagram. A range takes up to
  * 75 bytes. All moves of one rebalancing, with three ranges each, and the ranges that are merged with them fit.
@@ -84,13 +82,11 @@
   /** Store to which the assigners write. */
   readonly #assignmentStore: RowStore;
   readonly #assigners = new Map<string, KeyAssigner>();
-  readonly #trafficByService = new Map<string, KeyTrafficWindow>();
-  readonly #processingTimes = new Map<string, ProcessingTimeEstimate>();
+  readonly #reports = new KeyTrafficReports();
   /** When the assigner began to monitor each entry VM, by ID. */
   readonly #monitoredSince = new Map<string, number>();
   /** Version of the last confirmation of the assigner lease by this process. */
   #lastConfirmationVersion = 0;
-  #recentKeys: Record<string, number[]> = {};
   /** Value of the control table's `fullReadCount` from which on this process may assign keys. */
   #requiredFullReadCount = 0;
   /** The assigner that sent the last heartbeat. */
@@ -216,10 +212,7 @@
   }
 
   recordRequest(service: string, key: number): void {
-    const keys = (this.#recentKeys[service] ??= []);
-    if (keys.length < MAX_KEYS_PER_REPORT) {
-      keys.push(key);
-    }
+    this.#reports.recordRequest(service, key);
   }
 
   receive(message: PeerMessage): void {
@@ -259,7 +252,7 @@
           storeSilenceMilliseconds: message.storeSilence,
         });
         this.#readers.expectVersions(message.versions);
-        this.#recordReport(
+        this.#reports.recordReport(
           message.keys,
           Object.entries(message.serverTimes).map(([id, [milliseconds, sampleCount]]) => [
             id,
@@ -396,10 +389,10 @@
             assignerRowVersion: heldTerm.rowVersion,
             minRevision: this.owners.announcedRevision(service) + 1,
             previousLeaseEndsAt: () => this.#election.previousLeaseEndsAt,
-            servers: () => assignableServers.ofService(service, this.#processingTimes),
+            servers: () => assignableServers.ofService(service, this.#reports.processingTimes),
             isAbsenceReliable: () => serverRegistry.isAbsenceReliable,
-            traffic: () => this.#trafficOf(service).traffic(performance.now()),
-            newestTraffic: () => this.#trafficOf(service).newestTraffic(performance.now()),
+            traffic: () => this.#reports.traffic(service),
+            newestTraffic: () => this.#reports.newestTraffic(service),
             onDidWrite: (delta, rowVersion) => {
               this.#sendDelta(service, delta, rowVersion);
             },
@@ -467,11 +460,10 @@
 
   #sendReport(): void {
     const { self, processingTimes, send, health } = this.#options;
-    const keys = this.#recentKeys;
-    this.#recentKeys = {};
+    const keys = this.#reports.takeRecentKeys();
     const estimates = [...processingTimes()];
     if (this.isAssigner) {
-      this.#recordReport(keys, estimates);
+      this.#reports.recordReport(keys, estimates);
     } else if (this.#assigner?.address !== undefined) {
       send(this.#assigner.address, {
         type: 'report',
@@ -491,27 +483,4 @@
       });
     }
   }
-
-  #recordReport(
-    keys: Readonly<Record<string, number[]>>,
-    estimates: Iterable<readonly [string, ProcessingTimeEstimate]>,
-  ): void {
-    const now = performance.now();
-    for (const [service, serviceKeys] of Object.entries(keys)) {
-      this.#trafficOf(service).record(serviceKeys, now);
-    }
-    for (const [id, estimate] of estimates) {
-      this.#processingTimes.set(id, estimate);
-    }
-  }
-
-  #trafficOf(service: string): KeyTrafficWindow {
-    const known = this.#trafficByService.get(service);
-    if (known !== undefined) {
-      return known;
-    }
-    const window = new KeyTrafficWindow();
-    this.#trafficByService.set(service, window);
-    return window;
-  }
 }
