Wait for grants that the store has lost, or learn them from other processes

Cause: an assigner waited for unknown grants only if it had itself heard that a newer assignment was announced. A process that has just started has heard nothing. It took the assignment in the copy for the last one, and the former process that the copy names for the only one that could still send commands.

Ruled out: late grants of the killed processes (none in the record), and fences (those of the new era are above all others; the holders differ).

Change: the confirmation of the assigner's lease states era and term once all earlier assigners have stopped and all grants are by assignments in the store or have expired. An assigner that reads no such statement of the present era lacks records. Its heartbeats ask; others that followed the previous assigner report the newest revisions that they know. It grants keys of a service that was assigned before the return only when it knows these, or once all earlier grants have expired; until all others have acknowledged its term, any process may be the previous assigner. An assigner that lacks assignments does not count as one that knows if the store comes back once more.

Costs: one read of the store at each election, nothing else without a return.

--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -3,7 +3,7 @@
 import { compareText } from '@hickoryhoist/base/common/compareText.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
-import type { Candidate, RecordOfCandidate } from '@hickoryhoist/keyownership/common/assignerElection.js';
+import type { Candidate, RecordOfCandidate } from '@hickoryhoist/keyownership/common/candidate.js';
 import { CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { StoreReturn } from '@hickoryhoist/store/common/storeReturn.js';
--- a/packages/entryVm/src/common/entryVmSettings.ts
+++ b/packages/entryVm/src/common/entryVmSettings.ts
@@ -19,6 +19,8 @@
   /** UDP port for messages between entry VMs, the same on all of them. */
   readonly peerPort: number;
   readonly storeAddress: string;
+  /** Whether the whole system starts for the first time, so that no server holds keys; by default false. */
+  readonly isFirstStart?: boolean | undefined;
   /** Time between the stop signal and the time at which the process is killed. */
   readonly stopGraceMilliseconds: number;
   readonly retryBudget: RetryBudgetOptions;
--- a/packages/entryVm/src/common/keyOwners.ts
+++ b/packages/entryVm/src/common/keyOwners.ts
@@ -76,11 +76,25 @@
     return this.#expectedRevisions.get(service) ?? 0;
   }
 
+  /** Newest revision of each service's assignment that this process knows or that an assigner has announced to it. */
+  newestRevisions(): Record<string, number> {
+    const newest = this.revisions();
+    for (const [service, revision] of this.#expectedRevisions) {
+      newest[service] = Math.max(newest[service] ?? 0, revision);
+    }
+    return newest;
+  }
+
   /** Whether an assigner has announced a newer assignment of a service than this process knows. */
   isBehind(service: string): boolean {
     return this.announcedRevision(service) > (this.assignmentOf(service)?.assignment.revision ?? 0);
   }
 
+  /** Whether an assigner has announced a newer assignment of some service than this process knows. */
+  get isAnyBehind(): boolean {
+    return [...this.#expectedRevisions.keys()].some((service) => this.isBehind(service));
+  }
+
   /** The current assignments as rows of the control table. */
   assignmentRows(): readonly StoredRow[] {
     return [...this.#assignments].map(([service, { assignment, rowVersion }]) =>
@@ -122,11 +136,8 @@
       const known = this.#expectedRevisions.get(service) ?? 0;
       this.#expectedRevisions.set(service, Math.max(known, revision));
     }
-    const isBehind = [...this.#expectedRevisions].some(
-      ([service, revision]) => revision > (this.assignmentOf(service)?.assignment.revision ?? 0),
-    );
     const now = performance.now();
-    if (!isBehind) {
+    if (!this.isAnyBehind) {
       this.#behindSince = undefined;
       this.#readAttempts = 0;
       return;
--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -1,11 +1,8 @@
 import { DisposableBase } from '@hickoryhoist/base/common/disposable.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { ProcessingTimeEstimate } from '@hickoryhoist/dispatch/common/processingTimes.js';
-import {
-  AssignerElection,
-  CONFIRMATION_TABLE,
-  type HeldTerm,
-} from '@hickoryhoist/keyownership/common/assignerElection.js';
+import { AssignerElection, type HeldTerm } from '@hickoryhoist/keyownership/common/assignerElection.js';
+import { CONFIRMATION_TABLE } from '@hickoryhoist/keyownership/common/assignerRow.js';
 import {
   ASSIGNER_ROW_KEY,
   CONTROL_TABLE,
@@ -16,12 +13,9 @@
   encodeDelta,
   type KeyAssignmentDelta,
 } from '@hickoryhoist/keyownership/common/keyAssignmentDelta.js';
-import {
-  expiryMilliseconds,
-  keyOwnershipTiming,
-} from '@hickoryhoist/keyownership/common/keyOwnershipTiming.js';
 import { KeyAssigner } from '@hickoryhoist/keyownership/common/keyAssigner.js';
 import type { KeyGrantClient } from '@hickoryhoist/keyownership/common/keyGrantClient.js';
+import { StoreReturnRecovery } from '@hickoryhoist/keyownership/common/storeReturnRecovery.js';
 import type { RoutedService } from '@hickoryhoist/routing/common/routeConfiguration.js';
 import { paceFailedWrites } from '@hickoryhoist/store/common/pacedWrites.js';
 import { recordTransactions } from '@hickoryhoist/store/common/recordedRowStore.js';
@@ -54,6 +48,8 @@
 
 export interface KeyOwnershipControllerOptions {
   readonly self: EntryVmRecord;
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
   readonly store: RowStore;
   readonly grantClient: KeyGrantClient;
   readonly controlRows: TableWatcher;
@@ -83,6 +79,7 @@
   readonly #assignmentStore: RowStore;
   readonly #assigners = new Map<string, KeyAssigner>();
   readonly #reports = new KeyTrafficReports();
+  readonly #recovery: StoreReturnRecovery;
   /** When the assigner began to monitor each entry VM, by ID. */
   readonly #monitoredSince = new Map<string, number>();
   /** Version of the last confirmation of the assigner lease by this process. */
@@ -118,6 +115,10 @@
         controlRows.reload();
       }
     }, logger);
+    const peerIds = (): readonly string[] =>
+      entryVmRegistry.entryVms().flatMap(({ id }) => (id === self.id ? [] : [id]));
+    const { isFirstStart } = options;
+    this.#recovery = new StoreReturnRecovery({ isFirstStart, peerIds });
     this.#election = new AssignerElection({
       self,
       store,
@@ -126,13 +127,17 @@
       rank: () => this.#successionRank(),
       isStoreReachable: () => controlRows.isLoaded && health.isReachable,
       isRankKnown: () => entryVmRegistry.isSettled,
-      peerIds: () => entryVmRegistry.entryVms().flatMap(({ id }) => (id === self.id ? [] : [id])),
+      peerIds,
       hasEnded: (candidate, record) => entryVmRegistry.hasEnded(candidate, record),
+      recordGap: (era, recordedTerm, settled) => this.#recovery.recordGap(era, recordedTerm, settled),
+      isTermSettled: (heldTerm) =>
+        this.#recovery.isTermSettled(heldTerm, this.#election.previousLeaseEndsAt, performance.now()),
     });
     this.register(
       this.#election.onDidChange((heldTerm) => {
         this.#assigners.clear();
         if (heldTerm !== undefined) {
+          this.#recovery.startTerm(heldTerm, performance.now());
           this.#monitoredSince.clear();
           // Relayed changes may be older than the last write of the previous assigner.
           this.#requiredFullReadCount = controlRows.fullReadCount + 1;
@@ -241,6 +246,11 @@
         this.#readers.expectVersions(message.versions);
         this.owners.expectRevisions(message.assignments);
         this.#lastHeartbeatAt = performance.now();
+        this.#recovery.recordHeartbeat(
+          message.versions,
+          message.lacksAssignments === true,
+          this.#lastHeartbeatAt,
+        );
         this.#assignerStoreSilence = message.storeSilence;
         return;
       case 'report':
@@ -252,6 +262,8 @@
           storeSilenceMilliseconds: message.storeSilence,
         });
         this.#readers.expectVersions(message.versions);
+        this.#recovery.recordReport(message.id, message.term, message.newestRevisions !== undefined);
+        this.owners.expectRevisions(message.newestRevisions ?? {});
         this.#reports.recordReport(
           message.keys,
           Object.entries(message.serverTimes).map(([id, [milliseconds, sampleCount]]) => [
@@ -282,12 +294,15 @@
     this.#readers.tick(now);
     const { heldTerm } = this.#election;
     if (heldTerm !== undefined) {
+      if (this.#election.hasValidLease()) {
+        this.#recovery.recordOwnTerm(heldTerm, this.#lacksAssignments(heldTerm, now), now);
+      }
       if (this.#areTablesRead()) {
         this.#runAssigners(heldTerm);
       }
       if (now >= this.#nextHeartbeatAt) {
         this.#nextHeartbeatAt = now + HEARTBEAT_INTERVAL_MILLISECONDS;
-        this.#sendHeartbeats(heldTerm.term, now);
+        this.#sendHeartbeats(heldTerm, now);
       }
     }
     this.#probeStoreIfDue(now);
@@ -372,7 +387,7 @@
     const { grantClient, logger, serverRegistry, assignableServers } = this.#options;
     for (const service of this.#keyedServices()) {
       let assigner = this.#assigners.get(service);
-      if (assigner === undefined && this.#maySupersedeUnknownGrants(service)) {
+      if (assigner === undefined && this.#mayBeUnknownGrants(heldTerm, service)) {
         this.owners.expectRevisions({});
         continue;
       }
@@ -408,14 +423,16 @@
     }
   }
 
-  /**
-   * Whether servers may hold keys by an assignment that this process does not know. Load pattern: the store has come back
-   * from an older copy, and the previous assigner cannot write what was lost. Other entry VMs know it, or its grants expire.
-   */
-  #maySupersedeUnknownGrants(service: string): boolean {
-    const expiresAt =
-      this.#election.previousLeaseEndsAt + expiryMilliseconds(keyOwnershipTiming.leaseMilliseconds);
-    return this.owners.isBehind(service) && performance.now() < expiresAt;
+  #lacksAssignments(heldTerm: HeldTerm, now: number): boolean {
+    const { previousLeaseEndsAt } = this.#election;
+    return this.#recovery.lacksAssignments(heldTerm, this.owners.isAnyBehind, previousLeaseEndsAt, now);
+  }
+
+  #mayBeUnknownGrants(heldTerm: HeldTerm, service: string): boolean {
+    const revision = this.owners.assignmentOf(service)?.assignment.revision ?? 0;
+    const known = { revision, isBehind: this.owners.isBehind(service) };
+    const { previousLeaseEndsAt } = this.#election;
+    return this.#recovery.mayBeUnknownGrants(heldTerm, known, previousLeaseEndsAt, performance.now());
   }
 
   #recordTransaction({ puts }: RowTransaction, version: number): void {
@@ -434,16 +451,18 @@
     }
   }
 
-  #sendHeartbeats(term: number, now: number): void {
+  #sendHeartbeats(heldTerm: HeldTerm, now: number): void {
     const { self, entryVmRegistry, health, sendToOthers } = this.#options;
+    const lacksAssignments = this.#lacksAssignments(heldTerm, now);
     sendToOthers({
       type: 'heartbeat',
-      term,
+      term: heldTerm.term,
       id: self.id,
       storeSilence: Math.round(health.silenceMilliseconds()),
       versions: { ...this.#readers.versions(), [CONFIRMATION_TABLE]: this.#lastConfirmationVersion },
       assignments: this.owners.revisions(),
       sentAt: this.#election.clockNow(),
+      ...(lacksAssignments ? { lacksAssignments } : {}),
     });
     for (const { id } of entryVmRegistry.entryVms()) {
       if (id === self.id) {
@@ -480,6 +499,9 @@
             [Math.round(milliseconds), sampleCount],
           ]),
         ),
+        newestRevisions: this.#recovery.isWitness(performance.now())
+          ? this.owners.newestRevisions()
+          : undefined,
       });
     }
   }
--- a/packages/entryVm/src/common/peerCodec.ts
+++ b/packages/entryVm/src/common/peerCodec.ts
@@ -198,7 +198,7 @@
   },
   {
     type: 'heartbeat',
-    fields: ['id', 'term', 'storeSilence', 'sentAt', 'versions', 'assignments'],
+    fields: ['id', 'term', 'storeSilence', 'sentAt', 'versions', 'assignments', 'lacksAssignments'],
     codecs: { id: sameAsSender('id') },
   },
   {
@@ -228,6 +228,7 @@
       'versions',
       'keys',
       'serverTimes',
+      'newestRevisions',
     ],
     codecs: { id: sameAsSender('id'), incarnation: sameAsSender('incarnation') },
   },
--- a/packages/entryVm/src/common/peerMessage.ts
+++ b/packages/entryVm/src/common/peerMessage.ts
@@ -83,6 +83,8 @@
     assignments: z.record(z.string(), z.number()),
     /** Time of sending on the assigner's clock; reports echo it. */
     sentAt: z.number(),
+    /** Whether the sender does not know all assignments by which servers may hold keys. Absent otherwise. */
+    lacksAssignments: z.boolean().optional(),
   }),
   z.object({
     type: z.literal('reader-heartbeat'),
@@ -147,6 +149,11 @@
     keys: z.record(z.string(), z.array(z.number())),
     /** Estimated processing time in milliseconds and number of samples, by server. */
     serverTimes: z.record(z.string(), z.tuple([z.number(), z.number()])),
+    /**
+     * Newest revision of each service's assignment that the sender knows of, if it has followed an assigner until the store
+     * came back from an older copy. Absent otherwise, once the store has all assignments again, and in older versions.
+     */
+    newestRevisions: z.record(z.string(), z.number()).optional(),
   }),
 ]);
 
--- a/packages/entryVm/src/common/storeCallCause.ts
+++ b/packages/entryVm/src/common/storeCallCause.ts
@@ -1,4 +1,4 @@
-import { CONFIRMATION_TABLE } from '@hickoryhoist/keyownership/common/assignerElection.js';
+import { CONFIRMATION_TABLE } from '@hickoryhoist/keyownership/common/assignerRow.js';
 import {
   ASSIGNER_ROW_KEY,
   CONTROL_TABLE,
--- a/packages/entryVm/src/common/storeProbe.ts
+++ b/packages/entryVm/src/common/storeProbe.ts
@@ -1,6 +1,6 @@
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
-import { CONFIRMATION_TABLE } from '@hickoryhoist/keyownership/common/assignerElection.js';
+import { CONFIRMATION_TABLE } from '@hickoryhoist/keyownership/common/assignerRow.js';
 import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
 
 /**
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -175,6 +175,7 @@
     const controller: KeyOwnershipController = disposables.add(
       new KeyOwnershipController({
         self,
+        isFirstStart: true,
         store,
         grantClient: this.servers.clientFor(id),
         controlRows,
--- a/packages/entryVm/src/common/test/storeCallCause.test.ts
+++ b/packages/entryVm/src/common/test/storeCallCause.test.ts
@@ -1,5 +1,5 @@
 import * as assert from 'uvu/assert';
-import { CONFIRMATION_TABLE } from '@hickoryhoist/keyownership/common/assignerElection.js';
+import { CONFIRMATION_TABLE } from '@hickoryhoist/keyownership/common/assignerRow.js';
 import { ASSIGNER_ROW_KEY, CONTROL_TABLE } from '@hickoryhoist/keyownership/common/assignmentStore.js';
 import type { RowTransaction } from '@hickoryhoist/store/common/rowStore.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
--- a/packages/entryVm/src/common/test/storeReturn.test.ts
+++ b/packages/entryVm/src/common/test/storeReturn.test.ts
@@ -24,9 +24,15 @@
 ];
 
 /** The store is away for a moment, and comes back from a copy. */
-async function returnStore(rig: KeyOwnershipRig, copy: StoreCopy): Promise<void> {
+async function returnStore(
+  rig: KeyOwnershipRig,
+  copy: StoreCopy,
+  meanwhile: () => void = () => undefined,
+): Promise<void> {
   rig.store.setCondition({ kind: 'down' });
-  await rig.advance(AWAY_MILLISECONDS);
+  await rig.advance(AWAY_MILLISECONDS / 2);
+  meanwhile();
+  await rig.advance(AWAY_MILLISECONDS / 2);
   rig.store.returnFrom(copy);
   rig.store.setCondition({ kind: 'working' });
 }
@@ -88,26 +94,117 @@
     });
   });
 
+  // Guards against two owners: the assigner that was elected knew only the assignment in the copy, and granted at once the
+  // keys that another server still held by one that the store had lost.
+  describe('and has lost the keys of a server that joined', () => {
+    for (const { name, killed } of [
+      { name: 'all entry VMs are killed', killed: () => VM_IDS },
+      { name: 'the assigner is killed', killed: (rig: KeyOwnershipRig) => rig.assigners },
+      {
+        name: 'all entry VMs but one that does not become the assigner are killed',
+        killed: (rig: KeyOwnershipRig) => [
+          ...rig.assigners,
+          ...VM_IDS.filter((id) => !rig.assigners.includes(id)).slice(0, 1),
+        ],
+      },
+    ]) {
+      it(`gives no key two owners when ${name}`, async () => {
+        await withKeyOwnershipRig(async (rig) => {
+          const copy = rig.store.takeCopy();
+          rig.announce('server-5');
+          await rig.advance(3_000);
+          assert.ok(rig.servers.servers.get('server-5')?.ownsAnyKey, 'the new server has no keys');
+          await returnStore(rig, copy, () => {
+            for (const id of killed(rig)) {
+              rig.kill(id);
+              rig.startVm(id);
+            }
+          });
+          announceAgain(rig, ...SERVER_IDS);
+          await rig.advance(1_000);
+          assert.equal(rig.violations, [], traceOf(rig));
+          await rig.advance(MAX_UNSERVED_MILLISECONDS + 2_000);
+          assert.equal(rig.unownedKeys(), [], traceOf(rig));
+          assert.equal(rig.violations, [], traceOf(rig));
+          assert.equal(rig.servers.reusedFences, [], traceOf(rig));
+        });
+      });
+    }
+  });
+
   describe('in random histories of returns, departures and failures', () => {
     for (const seed of SEEDS) {
       it(`gives no key two owners, reuses no fence, and recovers (seed ${seed.toString()})`, async () => {
         await withKeyOwnershipRig(async (rig) => {
           await playHistory(rig, new RandomSource(seed));
-          const trace = traceOf(rig);
-          assert.equal(rig.violations, [], trace);
-          assert.equal(rig.servers.reusedFences, [], trace);
-          assert.is(rig.assigners.length, 1, trace);
-          await assertAllOwnedWithin(rig, MAX_UNSERVED_MILLISECONDS);
+          await assertRecovered(rig);
+        });
+      });
+    }
+  });
+
+  describe('in random histories in which entry VMs also start again around a return', () => {
+    // 148: the store came back again while an assigner waited that did not know what was lost; it counted as one that did.
+    // 56: an assigner that knew that it was behind announced what it knew as the newest.
+    for (const seed of [...SEEDS, 148, 56]) {
+      it(`gives no key two owners, reuses no fence, and recovers (seed ${seed.toString()})`, async () => {
+        await withKeyOwnershipRig(async (rig) => {
+          await playHistory(rig, new RandomSource(seed), restartsAroundReturns);
+          await assertRecovered(rig);
         });
       });
     }
   });
 });
 
+async function assertRecovered(rig: KeyOwnershipRig): Promise<void> {
+  const trace = traceOf(rig);
+  assert.equal(rig.violations, [], trace);
+  assert.equal(rig.servers.reusedFences, [], trace);
+  assert.is(rig.assigners.length, 1, trace);
+  await assertAllOwnedWithin(rig, MAX_UNSERVED_MILLISECONDS);
+}
+
+type HistoryEvent = (serverId: string, vmId: string) => Promise<void> | void;
+
+/** Entry VMs that end in a return of the store, and start again at once or after it. */
+function restartsAroundReturns(
+  rig: KeyOwnershipRig,
+  random: RandomSource,
+  copy: () => StoreCopy,
+): readonly HistoryEvent[] {
+  const restart = async (ids: readonly string[]): Promise<void> => {
+    const startsBefore = random.integer(0, 1) === 0;
+    await returnStore(rig, copy(), () => {
+      ids.forEach((id) => {
+        rig.kill(id);
+        if (startsBefore) {
+          rig.startVm(id);
+        }
+      });
+    });
+    await rig.advance(random.integer(0, 600));
+    ids
+      .filter((id) => !rig.vms.has(id))
+      .forEach((id) => {
+        rig.startVm(id);
+      });
+  };
+  return [
+    () => restart(VM_IDS),
+    () => restart(rig.assigners),
+    (_serverId, vmId) => restart(VM_IDS.filter((id) => id !== vmId)),
+  ];
+}
+
 /** Plays random events, then ends all failures and lets everybody write their rows again. */
-async function playHistory(rig: KeyOwnershipRig, random: RandomSource): Promise<void> {
+async function playHistory(
+  rig: KeyOwnershipRig,
+  random: RandomSource,
+  furtherEvents: typeof restartsAroundReturns = () => [],
+): Promise<void> {
   let copy = rig.store.takeCopy();
-  const events: readonly ((serverId: string, vmId: string) => Promise<void> | void)[] = [
+  const events: readonly HistoryEvent[] = [
     () => {
       copy = rig.store.takeCopy();
     },
@@ -152,6 +249,7 @@
     () => {
       announcePresent(rig);
     },
+    ...furtherEvents(rig, random, () => copy),
   ];
   for (let step = 0; step < STEPS; step += 1) {
     const event = random.pick(events);
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -237,6 +237,7 @@
         controlRows: this.#controlRows,
         tables: this.#tables,
         health: this.#health,
+        isFirstStart: settings.isFirstStart ?? false,
         serverRegistry: this.#serverRegistry,
         assignableServers: new AssignableServers(this.#serverRegistry, this.#evacuations, () =>
           this.#services(),
--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -1,21 +1,23 @@
-import * as z from 'zod';
 import { delay } from '@hickoryhoist/base/common/asynchronous.js';
-import { parseDocument } from '@hickoryhoist/base/common/checkedJson.js';
 import { Emitter } from '@hickoryhoist/base/common/emitter.js';
 import { describeError } from '@hickoryhoist/base/common/errors.js';
 import { LeaseClock } from '@hickoryhoist/base/common/leaseClock.js';
 import type { Logger } from '@hickoryhoist/base/common/logger.js';
 import type { RowStore, StoredRow } from '@hickoryhoist/store/common/rowStore.js';
 import { eraOf } from '@hickoryhoist/store/common/storeVersion.js';
-import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
+import {
+  type AssignerRow,
+  CONFIRMATION_TABLE,
+  decodeAssignerRow,
+  readSettledTerm,
+  writeAssignerRow,
+} from './assignerRow.js';
 import { ASSIGNER_ROW_KEY, CONTROL_TABLE } from './assignmentStore.js';
+import type { Candidate, HeartbeatAcknowledgement, RecordOfCandidate } from './candidate.js';
 import { keyOwnershipTiming } from './keyOwnershipTiming.js';
+import { encodeConfirmation, type SettledTerm } from './settledTerm.js';
+import { lastCommandsArriveAt, type PreviousAssigner, type RecordGap } from './previousAssigner.js';
 
-/**
- * Table to which the assigner writes the confirmations of its lease. Separate from the control table, so that the
- * writes wake no watcher of that table.
- */
-export const CONFIRMATION_TABLE = 'hickoryhoist-confirmation';
 /** Time without a heartbeat after which the assigner is replaced, in milliseconds: several missed heartbeats. */
 const HEARTBEAT_TIMEOUT_MILLISECONDS = 700;
 /** Delay between the campaigns of candidates of consecutive ranks, in milliseconds. */
@@ -26,32 +28,10 @@
 /** Delay between attempts to resign, in milliseconds. */
 const RESIGNATION_RETRY_MILLISECONDS = 100;
 
-const assignerSchema = z.object({
-  term: z.int().min(1),
-  id: z.string(),
-  incarnation: z.string(),
-  hasResigned: z.boolean(),
-});
-
-type AssignerRow = z.output<typeof assignerSchema>;
-
 interface ReadAssignerRow extends RecordOfCandidate {
   readonly row: AssignerRow;
 }
 
-/** A process that can be elected assigner. */
-export interface Candidate {
-  readonly id: string;
-  readonly incarnation: string;
-}
-
-/** The record in the store that names a candidate as the assigner. */
-export interface RecordOfCandidate {
-  readonly version: number;
-  /** When this process read the record first, on the monotonic clock. */
-  readonly knownSince: number;
-}
-
 /** Heartbeat of an assigner. */
 export interface AssignerHeartbeat {
   readonly term: number;
@@ -60,22 +40,14 @@
   readonly storeSilenceMilliseconds: number;
 }
 
-/** Reply of another process to the assigner's heartbeat. */
-export interface HeartbeatAcknowledgement extends Candidate {
-  /** Highest term that the process has seen. */
-  readonly term: number;
-  /** Time on the assigner's clock at which it sent the acknowledged heartbeat. */
-  readonly heartbeatSentAt: number;
-  readonly storeSilenceMilliseconds: number;
-}
-
 /** A term in which this process is the assigner. */
 export interface HeldTerm {
   readonly term: number;
   /** Version of the row that records this process as the assigner. */
   readonly rowVersion: number;
-  /** The previous assigner, if it may still be active. */
-  readonly previousAssigner: Candidate | undefined;
+  readonly previousAssigner: PreviousAssigner;
+  /** What the store lacked when the term began. */
+  readonly recordGap: RecordGap;
 }
 
 export interface ElectionOptions {
@@ -93,6 +65,18 @@
   readonly peerIds: () => readonly string[];
   /** Whether the process that a record names is known to have ended. */
   readonly hasEnded: (candidate: Candidate, record: RecordOfCandidate) => boolean;
+  /**
+   * What the store may lack about earlier assigners.
+   * @param recordedTerm term of the last one by its record; undefined if there is none.
+   * @param settled the last settled term that the store has.
+   */
+  readonly recordGap: (
+    era: number,
+    recordedTerm: number | undefined,
+    settled: SettledTerm | undefined,
+  ) => RecordGap;
+  /** Whether this process has outlasted all earlier assigners in a term. */
+  readonly isTermSettled: (heldTerm: HeldTerm) => boolean;
 }
 
 /**
@@ -161,16 +145,13 @@
     return this.#previousLeaseEndsAt;
   }
 
-  /**
-   * Shortens the lease of the previous assigner once that process acknowledges the new term: it sends no further
-   * commands, and those it has just sent arrive within the grant timeout or not at all.
-   */
-  #shortenPreviousLease(previous: Candidate, acknowledgement: HeartbeatAcknowledgement, term: number): void {
-    const isSame = previous.id === acknowledgement.id && previous.incarnation === acknowledgement.incarnation;
-    if (isSame && acknowledgement.term >= term) {
-      const endsAt = performance.now() + keyOwnershipTiming.grantTimeoutMilliseconds;
-      this.#previousLeaseEndsAt = Math.min(this.#previousLeaseEndsAt, endsAt);
-    }
+  #shortenPreviousLease({ previousAssigner, term }: HeldTerm): void {
+    const peerIds = this.#options.peerIds();
+    const now = performance.now();
+    this.#previousLeaseEndsAt = Math.min(
+      this.#previousLeaseEndsAt,
+      lastCommandsArriveAt(previousAssigner, term, this.#acknowledgements, peerIds, now),
+    );
   }
 
   get highestSeenTerm(): number {
@@ -188,9 +169,7 @@
     if (heldTerm === undefined) {
       return;
     }
-    if (heldTerm.previousAssigner !== undefined) {
-      this.#shortenPreviousLease(heldTerm.previousAssigner, acknowledgement, heldTerm.term);
-    }
+    this.#shortenPreviousLease(heldTerm);
     const sinceConfirmed = this.#clock.now() - this.#confirmedAt;
     const acknowledgements = this.#options.peerIds().map((id) => this.#acknowledgements.get(id));
     let oldestHeartbeatSentAt = this.#clock.now();
@@ -270,7 +249,8 @@
   async #writeResignation(heldTerm: HeldTerm): Promise<void> {
     try {
       const { id, incarnation } = this.#options.self;
-      await this.#put({ id, incarnation, term: heldTerm.term, hasResigned: true }, heldTerm.rowVersion);
+      const row = { id, incarnation, term: heldTerm.term, hasResigned: true };
+      await writeAssignerRow(this.#options.store, row, heldTerm.rowVersion);
     } catch (error) {
       this.#options.logger.log('warn', 'resignation-not-written', { reason: describeError(error) });
     }
@@ -299,7 +279,7 @@
     }
     try {
       this.#lastReadRow = {
-        row: parseDocument(ASSIGNER_ROW_KEY, assignerSchema, stored.value),
+        row: decodeAssignerRow(stored.value),
         version: stored.version,
         knownSince: performance.now(),
       };
@@ -368,20 +348,29 @@
     return Math.max(this.#highestSeenTerm, this.#highestRecordedTerm);
   }
 
-  /** Whether the previous assigner sends no further commands. */
-  #isPreviousGone(known: ReadAssignerRow | undefined): boolean {
+  #findPrevious(known: ReadAssignerRow | undefined, recordGap: RecordGap): PreviousAssigner {
     const { self, hasEnded } = this.#options;
-    if (known === undefined || this.#isRecordLost(known)) {
-      return this.#highestKnownTerm === this.#lastHeldTerm;
+    if (this.#lastHeldTerm > 0 && this.#lastHeldTerm === this.#highestKnownTerm) {
+      return { kind: 'self' };
+    }
+    if (
+      recordGap !== 'none' ||
+      (known === undefined ? this.#highestKnownTerm > 0 : this.#isRecordLost(known))
+    ) {
+      return { kind: 'unknown' };
+    }
+    if (known === undefined) {
+      return { kind: 'gone' };
     }
     const { row } = known;
-    const isOwn =
-      row.id === self.id && (row.incarnation !== self.incarnation || this.#wasLastAssigner(known));
-    return row.hasResigned || isOwn || hasEnded(row, known);
+    const isFormerProcess = row.id === self.id && row.incarnation !== self.incarnation;
+    return row.hasResigned || isFormerProcess || hasEnded(row, known)
+      ? { kind: 'gone' }
+      : { kind: 'known', candidate: row };
   }
 
   async #campaign(known: ReadAssignerRow | undefined): Promise<void> {
-    const { self, logger } = this.#options;
+    const { self, store, logger } = this.#options;
     // A record that the store has lost may name a higher term than the present one.
     const term = Math.max(known?.row.term ?? 0, this.#highestKnownTerm) + 1;
     this.#isStoreCallPending = true;
@@ -389,27 +378,41 @@
     this.#assignerStoreSilence = 0;
     const startedAt = this.#clock.now();
     try {
-      const version = await this.#put({ ...self, term, hasResigned: false }, known?.version ?? 0);
+      const version = await writeAssignerRow(
+        store,
+        { ...self, term, hasResigned: false },
+        known?.version ?? 0,
+      );
       if (version === undefined) {
         this.#lostCampaign = { rowVersion: known?.version ?? 0, at: performance.now() };
         logger.log('info', 'election-lost', { term });
         return;
       }
-      const isPreviousGone = this.#isPreviousGone(known);
+      const recordGap = this.#options.recordGap(
+        eraOf(version),
+        known?.row.term,
+        await readSettledTerm(store, logger),
+      );
+      const previousAssigner = this.#findPrevious(known, recordGap);
       const now = performance.now();
       this.#leaseEndsAt = startedAt + keyOwnershipTiming.assignerLeaseMilliseconds;
       this.#confirmedAt = startedAt;
       this.#acknowledgements.clear();
       this.#nextConfirmationAt = now + keyOwnershipTiming.confirmationIntervalMilliseconds;
-      this.#previousLeaseEndsAt = isPreviousGone ? now : now + keyOwnershipTiming.assignerLeaseMilliseconds;
-      this.#heldTerm = {
-        term,
-        rowVersion: version,
-        previousAssigner: isPreviousGone ? undefined : known?.row,
-      };
+      this.#previousLeaseEndsAt =
+        previousAssigner.kind === 'self'
+          ? Math.max(now, this.#previousLeaseEndsAt)
+          : now + keyOwnershipTiming.assignerLeaseMilliseconds;
+      this.#heldTerm = { term, rowVersion: version, previousAssigner, recordGap };
+      this.#shortenPreviousLease(this.#heldTerm);
       this.#highestSeenTerm = term;
       this.#lastHeldTerm = term;
-      logger.log('info', 'assigner-elected', { term, former: known?.row.id, isFormerGone: isPreviousGone });
+      logger.log('info', 'assigner-elected', {
+        term,
+        recorded: known?.row.id,
+        former: previousAssigner.kind,
+        recordGap,
+      });
       this.#onDidChange.fire(this.#heldTerm);
     } catch (error) {
       logger.log('warn', 'election-failed', { term, reason: describeError(error) });
@@ -424,7 +427,7 @@
     try {
       const result = await this.#options.store.transactRows({
         expected: [{ table: CONTROL_TABLE, key: ASSIGNER_ROW_KEY, version: heldTerm.rowVersion }],
-        puts: [{ table: CONFIRMATION_TABLE, key: ASSIGNER_ROW_KEY, value: heldTerm.term.toString() }],
+        puts: [{ table: CONFIRMATION_TABLE, key: ASSIGNER_ROW_KEY, value: this.#confirmationOf(heldTerm) }],
         deletes: [],
       });
       if (result.kind === 'conflict') {
@@ -445,31 +448,8 @@
     }
   }
 
-  /**
-   * Writes the assigner's row by a compare-and-set. If the response is lost, reads the row to find out whether the
-   * write was applied.
-   * @returns the new version of the row, or undefined when another process has written it.
-   */
-  async #put(row: AssignerRow, version: number): Promise<number | undefined> {
-    const name = { table: CONTROL_TABLE, key: ASSIGNER_ROW_KEY };
-    const transaction = {
-      expected: [{ ...name, version }],
-      puts: [{ ...name, value: JSON.stringify(row) }],
-      deletes: [],
-    };
-    try {
-      const result = await this.#options.store.transactRows(transaction);
-      return result.kind === 'committed' ? result.version : undefined;
-    } catch (error) {
-      if (!(error instanceof PlatformUnavailableError) || !error.mayHaveApplied) {
-        throw error;
-      }
-      const { rows } = await this.#options.store.readTable(CONTROL_TABLE);
-      const stored = rows.find(({ key }) => key === ASSIGNER_ROW_KEY);
-      if (stored?.value === JSON.stringify(row)) {
-        return stored.version;
-      }
-      throw error;
-    }
+  #confirmationOf(heldTerm: HeldTerm): string {
+    const { term, rowVersion } = heldTerm;
+    return encodeConfirmation({ term, era: eraOf(rowVersion) }, this.#options.isTermSettled(heldTerm));
   }
 }
--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -3,6 +3,7 @@
 import type { RowStore } from '@hickoryhoist/store/common/rowStore.js';
 import { eraOf } from '@hickoryhoist/store/common/storeVersion.js';
 import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
+import { firstRevisionOfEra } from './assignmentRevision.js';
 import { encodeAssignment } from './assignmentRow.js';
 import { readAssignmentRow, type StoredAssignment, writeAssignment } from './assignmentStore.js';
 import { EvacuationRounds } from './evacuationRounds.js';
@@ -39,11 +40,6 @@
 const STARTUP_QUIET_MILLISECONDS = 800;
 /** Time after the first registered server at which the first keys are assigned in any case, in milliseconds. */
 const STARTUP_TIMEOUT_MILLISECONDS = 4_000;
-/**
- * Revisions of one era of the store, more than are written in it: an assigner writes some in a second. Each era begins
- * above the former one, since the store may have lost revisions, and their fences, that nobody here knows.
- */
-const REVISIONS_PER_ERA = 10_000_000;
 /** Maximum number of ranges per server, averaged over the service. */
 const MAX_RANGES_PER_SERVER = 6;
 /** Maximum number of ranges of a service. One process renews the lease of each range once a second. */
@@ -321,7 +317,7 @@
   /** A revision above all that may have been written. */
   #nextRevision(): number {
     const { minRevision, assignerRowVersion } = this.#options;
-    const firstOfEra = eraOf(assignerRowVersion) * REVISIONS_PER_ERA;
+    const firstOfEra = firstRevisionOfEra(eraOf(assignerRowVersion));
     return Math.max(this.#writtenAssignment.revision + 1, minRevision, firstOfEra);
   }
 
--- a/packages/keyOwnership/src/common/test/assignerElection.test.ts
+++ b/packages/keyOwnership/src/common/test/assignerElection.test.ts
@@ -28,6 +28,8 @@
         isRankKnown: () => situation.isRankKnown,
         peerIds: () => [],
         hasEnded: () => false,
+        recordGap: () => 'none',
+        isTermSettled: () => true,
       });
       const run = async (milliseconds: number): Promise<void> => {
         for (let elapsed = 0; elapsed < milliseconds; elapsed += TICK_MILLISECONDS) {
@@ -60,6 +62,8 @@
           isRankKnown: () => true,
           peerIds: () => ['vm-2'],
           hasEnded: () => false,
+          recordGap: () => 'none',
+          isTermSettled: () => true,
         });
         const run = async (milliseconds: number): Promise<void> => {
           for (let elapsed = 0; elapsed < milliseconds; elapsed += TICK_MILLISECONDS) {
--- a/packages/standIns/src/common/emulator/keyedServers.ts
+++ b/packages/standIns/src/common/emulator/keyedServers.ts
@@ -69,6 +69,11 @@
     );
   }
 
+  get ownsAnyKey(): boolean {
+    const now = performance.now();
+    return this.isUp && this.#grantedRanges.some(({ expiresAt }) => now < expiresAt);
+  }
+
   apply(grant: KeyGrant, arrivedAt: number): GrantResult {
     const { from, to, fence, durationMilliseconds } = grant;
     const isFenced = this.#fencesSeen.some(
