Wait for all earlier assigners, not only for the last one

What servers could see: two servers that are up held the same keys for seconds, with the store unharmed, after two elections within ten seconds.

Cause: a new assigner judged only the one before it. If that one had resigned or ended, it waited for nobody, although its predecessor might still be waiting for an assigner that is cut off with a server and goes on renewing that server's grants until its lease ends, up to 10 s.

Change: if the last assigner has not confirmed that it had outlasted all earlier ones, any process counts as a possible assigner. The wait ends as soon as all others have acknowledged the new term.

With a planned stop or a kill of the successor the cause is the same.

--- a/packages/entryVm/src/common/test/keyOwnershipController.test.ts
+++ b/packages/entryVm/src/common/test/keyOwnershipController.test.ts
@@ -233,6 +233,43 @@
       });
     });
 
+    // Guards against two owners: an assigner that waited for the lease of the one before it gave up, and the next one took
+    // both for gone, although the first still renewed the grants of a server that only it reached.
+    for (const { name, end } of [
+      {
+        name: 'resigns',
+        end: (rig: KeyOwnershipRig, id: string) => {
+          void rig.vms.get(id)?.controller.resign();
+        },
+      },
+      {
+        name: 'starts again',
+        end: (rig: KeyOwnershipRig, id: string) => {
+          rig.kill(id);
+          rig.startVm(id);
+        },
+      },
+    ]) {
+      it(`gives no key two owners when its successor ${name} while it is cut off with a server`, async () => {
+        await withKeyOwnershipRig(async (rig) => {
+          const [cutOff = ''] = rig.assigners;
+          rig.store.refuse(cutOff, true);
+          rig.isDropped = (message, receiverId) =>
+            receiverId === cutOff || ('id' in message && message.id === cutOff);
+          for (const id of vmIds.filter((other) => other !== cutOff)) {
+            rig.servers.partitions.add(`${id} server-2`);
+          }
+          await rig.advance(1_500);
+          const successor = rig.assigners.find((id) => id !== cutOff) ?? '';
+          assert.ok(successor, 'no successor was elected');
+          end(rig, successor);
+          await rig.advance(15_000);
+          assert.equal(rig.violations, [], rig.trace.filter((line) => !line.includes('failed')).join('\n'));
+          assert.ok(rig.assigners.some((id) => id !== cutOff));
+        });
+      });
+    }
+
     it('replaces an assigner that alone does not reach the store', async () => {
       await withKeyOwnershipRig(async (rig) => {
         const [assigner] = rig.assigners;
--- a/packages/keyOwnership/src/common/previousAssigner.ts
+++ b/packages/keyOwnership/src/common/previousAssigner.ts
@@ -9,12 +9,14 @@
   | { readonly kind: 'self' }
   /** The one that the store named. */
   | { readonly kind: 'known'; readonly candidate: Candidate }
-  /** Any process: the store has lost the record of it. */
+  /** Any process: there may be more than one, or the store has lost the record of the last one. */
   | { readonly kind: 'unknown' };
 
 /** What the store may lack about the assigners before a new one. */
 export type RecordGap =
   | 'none'
+  /** The last assigner may not have outlasted those before it, which are not recorded. */
+  | 'earlier-assigners'
   /** The store may have lost the record of the last assigner, and assignments by which servers hold keys. */
   | 'lost-records';
 
--- a/packages/keyOwnership/src/common/storeReturnRecovery.ts
+++ b/packages/keyOwnership/src/common/storeReturnRecovery.ts
@@ -59,7 +59,7 @@
     if (era > 0 && (settled?.era ?? 0) < era) {
       return 'lost-records';
     }
-    return 'none';
+    return recordedTerm === undefined || settled?.term === recordedTerm ? 'none' : 'earlier-assigners';
   }
 
   /**
