Create the row of an assignment that the store has lost

Cause: the assigner kept the version of the row that the store had lost and expected it in its first write.

Ruled out: writes of other processes (no other one was elected).

Change: the row counts as missing if its known version is of a former era. A process campaigns at once only when a return of the store has ended its term. Related paths: an entry VM that leaves after a return deletes its row by the version of the present era; before, the row stayed until 8 s of silence.

Evidence: "gives every key one owner again" fails before when no entry VM ends and when the assigner is killed, and passes now; with all killed it passed before, since nobody remembers the row.

--- a/packages/entryVm/src/common/entryVmRegistry.ts
+++ b/packages/entryVm/src/common/entryVmRegistry.ts
@@ -240,7 +240,7 @@
     try {
       // The store may perform the write after the next process of this entry VM has written its row.
       const result = await this.#store.transactRows({
-        expected: [{ ...name, version: this.#writtenVersion ?? this.#rows.rows.get(name.key)?.version ?? 0 }],
+        expected: [{ ...name, version: this.#ownRowVersion(name.key) }],
         puts: [],
         deletes: [name],
       });
@@ -252,6 +252,17 @@
     }
   }
 
+  /** The newest known version of the row as this process wrote it. */
+  #ownRowVersion(key: string): number {
+    const stored = this.#rows.rows.get(key)?.version ?? 0;
+    if (this.#writtenVersion === undefined) {
+      return stored;
+    }
+    // The versions of all rows change when the store comes back from an older copy.
+    const isOwn = this.#storedSelf?.incarnation === this.#self.incarnation;
+    return Math.max(this.#writtenVersion, isOwn ? stored : 0);
+  }
+
   /** Deletes the row of an entry VM that has failed. */
   async remove(id: string): Promise<void> {
     const row = this.#rows.rows.get(ENTRY_VM_PREFIX + id);
--- a/packages/entryVm/src/common/test/entryVmRegistry.test.ts
+++ b/packages/entryVm/src/common/test/entryVmRegistry.test.ts
@@ -139,6 +139,20 @@
         await advance(3_000, process);
         assert.is(process.registry.entryVms().length, 1);
       }));
+
+    // Guards against rows of ended processes that stay: the version that the row had before the return was expected.
+    it('deletes its row when it leaves, although the row has another version', () =>
+      withStore(async (store, advance) => {
+        const process = new Process(store, 'vm-1', 'self');
+        await advance(1_000, process);
+        const copy = store.takeCopy();
+        await advance(1_000, process);
+        store.returnFrom(copy);
+        process.poll();
+        await advance(1_000, process);
+        await Promise.all([process.registry.leave(), advance(100, process)]);
+        assert.is(store.row(CONTROL_TABLE, 'entry-vm/vm-1'), undefined);
+      }));
   });
 
   describe('when the store performs the writes of a former process late', () => {
--- a/packages/entryVm/src/common/test/storeReturn.test.ts
+++ b/packages/entryVm/src/common/test/storeReturn.test.ts
@@ -2,7 +2,7 @@
 import { RandomSource } from '@hickoryhoist/base/common/randomSource.js';
 import { describe, it } from '@hickoryhoist/testing/common/describe.js';
 import type { StoreCopy } from '@hickoryhoist/standIns/common/emulator/memoryRowStore.js';
-import { type KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
+import { KeyOwnershipRig, withKeyOwnershipRig } from './fakes/keyOwnershipRig.js';
 
 /** Time in which users expect servers to write their rows again, in milliseconds. */
 const REWRITE_MILLISECONDS = 1_500;
@@ -132,6 +132,44 @@
     }
   });
 
+  // Guards against keys without an owner for good: the assigner expected a version of the lost row, its writes conflicted, and
+  // it gave up its term and was elected again without end.
+  describe('and has lost the first assignment of a service', () => {
+    for (const { name, restarted } of [
+      { name: 'no entry VM ends', restarted: () => [] },
+      { name: 'the assigner is killed', restarted: (rig: KeyOwnershipRig) => rig.assigners },
+      { name: 'all entry VMs are killed', restarted: () => VM_IDS },
+    ]) {
+      it(`gives every key one owner again when ${name}`, async () => {
+        const rig = new KeyOwnershipRig();
+        try {
+          VM_IDS.forEach((id) => {
+            rig.startVm(id);
+          });
+          await rig.advance(3_000);
+          const copy = rig.store.takeCopy();
+          announceAgain(rig, ...SERVER_IDS);
+          await rig.advance(4_500);
+          assert.equal(rig.unownedKeys(), []);
+          await returnStore(rig, copy, () => {
+            for (const id of restarted(rig)) {
+              rig.kill(id);
+              rig.startVm(id);
+            }
+          });
+          announceAgain(rig, ...SERVER_IDS);
+          await rig.advance(MAX_UNSERVED_MILLISECONDS + 2_000);
+          await assertAllOwnedWithin(rig, MAX_UNSERVED_MILLISECONDS);
+          assert.equal(rig.violations, [], traceOf(rig));
+          const elections = rig.trace.filter((line) => line.includes('assigner-elected')).length;
+          assert.ok(elections <= 3, `${elections.toString()} elections`);
+        } finally {
+          rig.dispose();
+        }
+      });
+    }
+  });
+
   describe('in random histories of returns, departures and failures', () => {
     for (const seed of SEEDS) {
       it(`gives no key two owners, reuses no fence, and recovers (seed ${seed.toString()})`, async () => {
--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -94,8 +94,9 @@
   #highestSeenTerm = 0;
   /** Highest term that the store has recorded. It may have lost the record since. */
   #highestRecordedTerm = 0;
-  /** Term that this process held last. */
+  /** Term that this process held last, and the era of the store in which it was elected. */
   #lastHeldTerm = 0;
+  #lastHeldEra = 0;
   #assignerStoreSilence = 0;
   #isStoreCallPending = false;
   #nextConfirmationAt = 0;
@@ -324,9 +325,9 @@
   }
 
   /**
-   * Whether this process was the assigner until now, by all that it has heard, although it does not hold the term that the
-   * store records. It campaigns at once then. Load pattern: the store has come back from an older copy, and all processes
-   * find a record there that may be an old one.
+   * Whether this process was the assigner until the store came back from an older copy, by all that it has heard. It
+   * campaigns at once then. Load pattern: all processes find a record in the store that may be an old one. A process that
+   * has lost its term otherwise would lose it again at once, with a write to the store each time.
    */
   #wasLastAssigner(known: ReadAssignerRow): boolean {
     const { self } = this.#options;
@@ -335,6 +336,7 @@
     return (
       this.#lastHeldTerm > 0 &&
       this.#lastHeldTerm === this.#highestKnownTerm &&
+      eraOf(known.version) > this.#lastHeldEra &&
       (this.#isRecordLost(known) || (isOwnRecord && term === this.#lastHeldTerm))
     );
   }
@@ -407,6 +409,7 @@
       this.#shortenPreviousLease(this.#heldTerm);
       this.#highestSeenTerm = term;
       this.#lastHeldTerm = term;
+      this.#lastHeldEra = eraOf(version);
       logger.log('info', 'assigner-elected', {
         term,
         recorded: known?.row.id,
--- a/packages/keyOwnership/src/common/assignmentStore.ts
+++ b/packages/keyOwnership/src/common/assignmentStore.ts
@@ -65,6 +65,14 @@
   return version > knownVersion || (version === knownVersion && eraOf(version) > 0);
 }
 
+/**
+ * Version of the row of an assignment in an era of the store, all rows of which have been read; 0 when the row does not exist.
+ * The row of an assignment that is known from a former era only is one that the store has lost.
+ */
+export function presentRowVersion({ rowVersion }: StoredAssignment, era: number): number {
+  return eraOf(rowVersion) < era ? 0 : rowVersion;
+}
+
 /**
  * Writes an assignment on condition that neither its row nor the assigner's row has changed.
  * @returns the new version of the row, or undefined on conflict.
--- a/packages/keyOwnership/src/common/keyAssigner.ts
+++ b/packages/keyOwnership/src/common/keyAssigner.ts
@@ -5,7 +5,12 @@
 import { PlatformUnavailableError } from '@hickoryhoist/store/common/tableService.js';
 import { firstRevisionOfEra } from './assignmentRevision.js';
 import { encodeAssignment } from './assignmentRow.js';
-import { readAssignmentRow, type StoredAssignment, writeAssignment } from './assignmentStore.js';
+import {
+  presentRowVersion,
+  readAssignmentRow,
+  type StoredAssignment,
+  writeAssignment,
+} from './assignmentStore.js';
 import { EvacuationRounds } from './evacuationRounds.js';
 import { HotKeyMoves } from './hotKeyMoves.js';
 import { createOwnedRange, type KeyAssignment, type OwnedRange } from './keyAssignment.js';
@@ -128,7 +133,7 @@
   constructor(options: KeyAssignerOptions, stored: StoredAssignment) {
     this.#options = options;
     this.#writtenAssignment = stored.assignment;
-    this.#rowVersion = stored.rowVersion;
+    this.#rowVersion = presentRowVersion(stored, eraOf(options.assignerRowVersion));
     this.#isTakeover = stored.rowVersion > 0;
   }
 
