--- a/packages/standIns/src/common/emulator/memoryRowStore.ts
+++ b/packages/standIns/src/common/emulator/memoryRowStore.ts
@@ -61,11 +61,17 @@
   #historyStartVersion = 0;
   #calls = 0;
   #condition: StoreCondition = { kind: 'working' };
+  #lastConditionalWriter: string | undefined;
   /** Table of the waits that go without a response, by caller; undefined for all tables. */
   readonly #unansweredWaits = new Map<string, string | undefined>();
   readonly #refusedCallers = new Set<string>();
   readonly #silencedCallers = new Set<string>();
 
+  /** The caller that last wrote under a condition. */
+  get lastConditionalWriter(): string | undefined {
+    return this.#lastConditionalWriter;
+  }
+
   /** Number of calls by all callers so far. */
   get calls(): number {
     return this.#calls;
@@ -205,6 +211,9 @@
       },
       transactRows: async (transaction) => {
         await emulateCall();
+        if (transaction.expected.length > 0) {
+          this.#lastConditionalWriter = caller;
+        }
         return respond(await this.#transact(transaction));
       },
     };
