Check early responses to uploads and invalid statuses on every path

Other systems took a part of a response for all of it when a server answered a long upload early, without a length, and reset the connection while the upload was still being written; and they passed on a response with status 000.

Nine endings (three kinds, after 0, 1 and 20 ms), each with and without `connection: close`, three tries; four invalid status lines with three bodies.

The statuses are refused by the HTTP client, which the new test now holds it to.

--- a/packages/dispatch/src/node/test/faultyServers.test.ts
+++ b/packages/dispatch/src/node/test/faultyServers.test.ts
@@ -1,8 +1,10 @@
 import { defaultResponseLimits } from '@hickoryhoist/connection/common/responseLimits.js';
 import {
+  checkBrokenEarlyResponses,
   checkEndlessResponse,
   checkEndlessResponsesTogether,
   checkFaultSequences,
+  checkInvalidStatuses,
   checkTruncatedHeads,
   endlessBehaviourNames,
   type TransportUnderTest,
@@ -41,7 +43,7 @@
 function createTransport(): TransportUnderTest {
   const pool = new ServerConnectionPool(protocol, defaultResponseLimits);
   return {
-    send: async (address, requestId, timeoutMilliseconds) =>
+    send: async (address, requestId, timeoutMilliseconds, body = Buffer.from('body')) =>
       toTryResult(
         await pool.call({
           requestId,
@@ -51,7 +53,7 @@
           method: 'POST',
           target: '/',
           headers: {},
-          body: Buffer.from('body'),
+          body,
           isIdempotent: false,
           timeoutMilliseconds,
           maxIdleConnections: 4,
@@ -77,6 +79,14 @@
   it('never makes a response that ends within its head look whole', () =>
     checkTruncatedHeads(dialect, createTransport));
 
+  // Guards against a part of a response that reaches the caller as a complete success.
+  it('never makes a response without a length to an upload look whole when its connection is reset', () =>
+    checkBrokenEarlyResponses(dialect, createTransport));
+
+  // Guards against a response with status 000 that reaches the caller, or that is waited for until the deadline.
+  it('never makes a response with an invalid status look like one', () =>
+    checkInvalidStatuses(dialect, createTransport));
+
   describe('whose response has no end', () => {
     for (const name of endlessBehaviourNames(dialect)) {
       it(`is cut off: ${name}`, () => checkEndlessResponse(dialect, createTransport, name));
--- a/packages/gateway/src/node/test/faultyServers.test.ts
+++ b/packages/gateway/src/node/test/faultyServers.test.ts
@@ -1,8 +1,10 @@
 import { headerNames } from '@hickoryhoist/protocol/common/requestHeaders.js';
 import {
+  checkBrokenEarlyResponses,
   checkEndlessResponse,
   checkEndlessResponsesTogether,
   checkFaultSequences,
+  checkInvalidStatuses,
   checkTruncatedHeads,
   endlessBehaviourNames,
   type TransportUnderTest,
@@ -28,14 +30,14 @@
 function createTransport(): TransportUnderTest {
   const pool = new ConnectionPool();
   return {
-    send: async (address, requestId, timeoutMilliseconds) =>
+    send: async (address, requestId, timeoutMilliseconds, body = Buffer.from('body')) =>
       toTryResult(
         await pool.send({
           address,
           method: 'POST',
           target: '/',
           headers: { [headerNames.requestId]: requestId },
-          body: Buffer.from('body'),
+          body,
           requestId,
           isIdempotent: false,
           timeoutMilliseconds,
@@ -70,6 +72,14 @@
   it('never makes a response that ends within its head look whole', () =>
     checkTruncatedHeads(dialect, createTransport));
 
+  // Guards against a part of a response that reaches the caller as a complete success.
+  it('never makes a response without a length to an upload look whole when its connection is reset', () =>
+    checkBrokenEarlyResponses(dialect, createTransport));
+
+  // Guards against a response with status 000 that reaches the caller, or that is waited for until the deadline.
+  it('never makes a response with an invalid status look like one', () =>
+    checkInvalidStatuses(dialect, createTransport));
+
   describe('whose response has no end', () => {
     for (const name of endlessBehaviourNames(dialect)) {
       it(`is cut off: ${name}`, () => checkEndlessResponse(dialect, createTransport, name));
--- a/packages/standIns/src/node/faultyServerChecks.ts
+++ b/packages/standIns/src/node/faultyServerChecks.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import type { Disposable } from '@hickoryhoist/base/common/disposable.js';
 import { silentLogger } from '@hickoryhoist/base/common/logger.js';
+import { type EarlyEnding, EarlyResponseServer } from './earlyResponseServer.js';
 import { FaultyServerScripts, intactBody, type ResponseDialect } from './faultyServerScripts.js';
 import { type ReceivedRequest, ScriptedServer, type ServerStep } from './scriptedServer.js';
 
@@ -14,7 +15,13 @@
 
 /** A transport under test. */
 export interface TransportUnderTest extends Disposable {
-  send(address: string, requestId: string, timeoutMilliseconds: number): Promise<TryResult>;
+  send(
+    address: string,
+    requestId: string,
+    timeoutMilliseconds: number,
+    /** Four bytes by default. */
+    body?: Buffer,
+  ): Promise<TryResult>;
 }
 
 const MAX_TRIES = 3;
@@ -135,6 +142,91 @@
   }
 }
 
+const EARLY_ENDINGS: readonly EarlyEnding[] = [0, 1, 20].flatMap((pauseMilliseconds) =>
+  (['reads-on', 'stops-reading', 'closes-with-unread-bytes'] as const).map((kind) => ({
+    kind,
+    pauseMilliseconds,
+  })),
+);
+/** More than the buffers of a loopback connection take. */
+const LONG_UPLOAD = Buffer.alloc(16_777_216, 'u');
+const TRIES_PER_ENDING = 3;
+
+/**
+ * Checks that a response without a length to an upload that is still being written is reported as lost if its connection
+ * is reset, however that comes about. The part that has arrived must not look complete.
+ */
+export async function checkBrokenEarlyResponses(
+  dialect: ResponseDialect,
+  createTransport: () => TransportUnderTest,
+): Promise<void> {
+  for (const ending of EARLY_ENDINGS) {
+    for (const connection of ['connection: close\r\n', '']) {
+      const server = new EarlyResponseServer(
+        (head) =>
+          `HTTP/1.1 200 OK\r\n${requestIdLine(dialect, head)}${dialect.successHeaders}${connection}\r\npart`,
+        ending,
+      );
+      await server.listen();
+      const transport = createTransport();
+      try {
+        for (let count = 0; count < TRIES_PER_ENDING; count += 1) {
+          const id = `upload-${count.toString()}`;
+          const result = await transport.send(server.address, id, ENDLESS_DEADLINE_MILLISECONDS, LONG_UPLOAD);
+          assert.is(result.kind, 'lost', `${JSON.stringify(ending)}: ${JSON.stringify(result)}`);
+        }
+      } finally {
+        transport.dispose();
+        server.dispose();
+      }
+    }
+  }
+}
+
+/** Status lines whose status is no final status of HTTP. */
+const INVALID_STATUS_LINES = ['HTTP/1.1 000 OK', 'HTTP/1.1 000', 'HTTP/1.1 099 OK', 'HTTP/1.0 000 OK'];
+
+/** Checks that a response with an invalid status is reported as lost, with and without a body and a length. */
+export async function checkInvalidStatuses(
+  dialect: ResponseDialect,
+  createTransport: () => TransportUnderTest,
+): Promise<void> {
+  const rests = [
+    'content-length: 4\r\n\r\nbody',
+    'content-length: 0\r\n\r\n',
+    'connection: close\r\n\r\nbody',
+  ];
+  for (const statusLine of INVALID_STATUS_LINES) {
+    for (const rest of rests) {
+      const script = ({ id }: ReceivedRequest): readonly ServerStep[] => [
+        { kind: 'run' },
+        {
+          kind: 'send',
+          text: `${statusLine}\r\n${dialect.requestIdHeader}: ${id}\r\n${dialect.successHeaders}${rest}`,
+        },
+        ...(rest.includes('close') ? [{ kind: 'end' } as const] : []),
+      ];
+      await withScriptedServer(dialect, script, async (server) => {
+        const transport = createTransport();
+        try {
+          const startedAt = performance.now();
+          const result = await transport.send(server.address, 'one', ENDLESS_DEADLINE_MILLISECONDS);
+          const text = `${statusLine} ${rest}: ${JSON.stringify(result)}`;
+          assert.is(result.kind, 'lost', text);
+          assert.ok(performance.now() - startedAt < MAX_ENDLESS_MILLISECONDS, `${text} lasted too long`);
+        } finally {
+          transport.dispose();
+        }
+      });
+    }
+  }
+}
+
+function requestIdLine({ requestIdHeader }: ResponseDialect, head: string): string {
+  const id = new RegExp(`^${requestIdHeader}: *(\\S*)`, 'im').exec(head)?.[1] ?? '';
+  return `${requestIdHeader}: ${id}\r\n`;
+}
+
 /** Names of the responses without end that `checkEndlessResponse` accepts. */
 export function endlessBehaviourNames(dialect: ResponseDialect): readonly string[] {
   return Object.keys(new FaultyServerScripts(dialect).endlessBehaviours);
