--- a/packages/standIns/src/common/emulator/keyedServers.ts
+++ b/packages/standIns/src/common/emulator/keyedServers.ts
@@ -62,11 +62,16 @@
   }
 
   ownsKey(key: number): boolean {
+    return this.fenceOf(key) !== undefined;
+  }
+
+  /** The highest fence under which this server owns a key; undefined if it does not. */
+  fenceOf(key: number): number | undefined {
     const now = performance.now();
-    return (
-      this.isUp &&
-      this.#grantedRanges.some(({ from, to, expiresAt }) => from <= key && key <= to && now < expiresAt)
-    );
+    const fences = this.#grantedRanges
+      .filter(({ from, to, expiresAt }) => from <= key && key <= to && now < expiresAt)
+      .map(({ fence }) => fence);
+    return this.isUp && fences.length > 0 ? Math.max(...fences) : undefined;
   }
 
   get ownsAnyKey(): boolean {
