Relay the first write of a server whose old announcement came back

What callers saw could be: after the store came back from an older copy with the announcement of a server that had lapsed, the server wrote it again, and only the readers of the store used it. The other entry VMs went on without it.

Cause: a server that writes what the copy says announces nothing new, and readers relay news only. The registry, however, disregards the announcement until it is written.

Change: the registry, which knows what it disregards, decides what is news.

Evidence: "lets all entry VMs use a server again ..." fails before with one of eight entry VMs that know the server, and passes now.

--- a/packages/entryVm/src/common/serverRegistry.ts
+++ b/packages/entryVm/src/common/serverRegistry.ts
@@ -16,23 +16,6 @@
 /** The time at which a server began to leave is kept for this long. */
 const LEAVING_RETENTION_MILLISECONDS = 60_000;
 
-/** Whether a changed row announces something new. A row that cannot be decoded does, so that all can log it. */
-export function isNewAnnouncement(
-  before: StoredRow | undefined,
-  after: StoredRow,
-  decode: (id: string, value: string) => ServerRecord,
-): boolean {
-  if (before === undefined) {
-    return true;
-  }
-  try {
-    return !isSameAnnouncement(decode(before.key, before.value), decode(after.key, after.value));
-  } catch {
-    // The registry logs the row that cannot be decoded.
-    return true;
-  }
-}
-
 /** Whether a server announces nothing new, or only that its warm-up time passes. */
 function isSameAnnouncement(before: ServerRecord | undefined, after: ServerRecord): boolean {
   return (
@@ -63,6 +46,8 @@
   readonly #leavingStatements = new LeavingStatements();
   /** Announcements of ready servers that a statement covers although their incarnation was not known to make it. */
   readonly #assumedLeaving = new Map<string, ServerRecord>();
+  /** Servers that had left and whose announcements came back with an older copy of the store. */
+  readonly #returned = new Set<string>();
   /** Servers with an unreadable row, each logged once. */
   readonly #unreadable = new Set<string>();
   readonly #onDidChange = new Emitter<void>();
@@ -122,6 +107,26 @@
     return true;
   }
 
+  /**
+   * Whether a changed row announces something new, before the update with it. The first write of a server whose
+   * announcement came back with an older copy of the store does, whatever it says. A row that cannot be decoded does, so
+   * that all can log it.
+   */
+  isNewAnnouncement(before: StoredRow | undefined, after: StoredRow): boolean {
+    if (before === undefined || this.#returned.has(after.key)) {
+      return true;
+    }
+    try {
+      return !isSameAnnouncement(
+        this.#decode(before.key, before.value),
+        this.#decode(after.key, after.value),
+      );
+    } catch {
+      // The update logs the row.
+      return true;
+    }
+  }
+
   /** Whether servers are retained that were absent at the last update. */
   get retainsAbsentServers(): boolean {
     return this.#retainsAbsentServers;
@@ -139,9 +144,11 @@
         this.#versions.set(id, row.version);
         if (hasStoreReturned && this.#incarnations.hasRemoved(id)) {
           // It counts again once the server writes it again.
+          this.#returned.add(id);
           this.#logger.log('info', 'server-announcement-returned', { server: id });
           continue;
         }
+        this.#returned.delete(id);
         isChanged = this.#applyRow(id, row.value) || isChanged;
       }
     }
@@ -157,6 +164,9 @@
         isChanged = true;
       }
     }
+    for (const id of [...this.#returned].filter((returned) => !rows.has(returned))) {
+      this.#returned.delete(id);
+    }
     this.#retainsAbsentServers = [...this.#servers.keys()].some((id) => !rows.has(id));
     if (isChanged) {
       this.#onDidChange.fire();
--- a/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
+++ b/packages/entryVm/src/common/test/fakes/keyOwnershipRig.ts
@@ -17,7 +17,7 @@
 import { changesForNeighbour } from '../../neighbourChanges.js';
 import { NeighbourSelector } from '../../neighbourSelector.js';
 import type { PeerMessage } from '../../peerMessage.js';
-import { isNewAnnouncement, ServerRegistry } from '../../serverRegistry.js';
+import { ServerRegistry } from '../../serverRegistry.js';
 import { ZoneEvacuations } from '../../zoneEvacuations.js';
 
 export const SERVICE = 'catalogue';
@@ -143,7 +143,7 @@
     const serverRows = watch(SERVERS_TABLE, {
       firstCopySource: () =>
         controller.isReader ? 'store' : selector.firstCopySource(entryVmRegistry.isSettled),
-      isRelevantChange: (before, after) => isNewAnnouncement(before, after, decode),
+      isRelevantChange: (before, after) => serverRegistry.isNewAnnouncement(before, after),
       idlePauseMilliseconds: Number.POSITIVE_INFINITY,
     });
     const tables = new Map([
--- a/packages/entryVm/src/common/test/storeReturn.test.ts
+++ b/packages/entryVm/src/common/test/storeReturn.test.ts
@@ -94,6 +94,33 @@
     });
   });
 
+  // Guards against a server that only the readers of the store use: it wrote nothing new, so that its write was not relayed.
+  it('lets all entry VMs use a server again whose old announcement was disregarded until it wrote it again', async () => {
+    await withKeyOwnershipRig(async (rig) => {
+      const vms = Array.from({ length: 8 }, (_, index) => `vm-${(index + 4).toString()}`);
+      vms.forEach((id) => {
+        rig.startVm(id);
+      });
+      rig.announce('server-5');
+      await rig.advance(2_000);
+      const phases = (): readonly unknown[] => vms.map((id) => rig.phaseOf(id, 'server-5'));
+      const copy = rig.store.takeCopy();
+      rig.removeAnnouncement('server-5');
+      await rig.advance(4_000);
+      assert.ok(phases().every((phase) => phase === undefined));
+      await returnStore(rig, copy);
+      announceAgain(rig, 'server-1', 'server-2', 'server-3', 'server-4');
+      await rig.advance(1_000);
+      assert.ok(phases().every((phase) => phase === undefined));
+      rig.announce('server-5');
+      await rig.advance(1_000);
+      assert.ok(
+        phases().every((phase) => phase === 'ready'),
+        phases().join(' '),
+      );
+    });
+  });
+
   // Guards against two owners: the assigner that was elected knew only the assignment in the copy, and granted at once the
   // keys that another server still held by one that the store had lost.
   describe('and has lost the keys of a server that joined', () => {
--- a/packages/entryVm/src/node/entryVm.ts
+++ b/packages/entryVm/src/node/entryVm.ts
@@ -37,7 +37,7 @@
 import { NeighbourSelector } from '../common/neighbourSelector.js';
 import { messageFormatFor, type PeerMessage } from '../common/peerMessage.js';
 import type { PlatformBinding } from '../common/platformBinding.js';
-import { isNewAnnouncement, ServerRegistry } from '../common/serverRegistry.js';
+import { ServerRegistry } from '../common/serverRegistry.js';
 import { storeCallCause } from '../common/storeCallCause.js';
 import { ZoneEvacuations } from '../common/zoneEvacuations.js';
 import { CallerServer } from './callerServer.js';
@@ -164,8 +164,7 @@
       );
     this.#configurationRows = watch(binding.configurationTable, CONFIGURATION_PAUSE_MILLISECONDS);
     this.#serverRows = watch(binding.serversTable, SERVERS_PAUSE_MILLISECONDS, {
-      isRelevantChange: (before, after) =>
-        isNewAnnouncement(before, after, (id, value) => binding.decodeServer(id, value)),
+      isRelevantChange: (before, after) => this.#serverRegistry.isNewAnnouncement(before, after),
       firstCopySource: () =>
         this.#keyOwnership.isReader ? 'store' : selector.firstCopySource(this.#entryVmRegistry.isSettled),
     });
