Take any process for a possible assigner while records may be lost

A heartbeat of a term that is over no longer ends a question of the present assigner.

No test showed the fault; the state takes an outage between two assigners and the loss of the record of the second.

--- a/packages/entryVm/src/common/keyOwnershipController.ts
+++ b/packages/entryVm/src/common/keyOwnershipController.ts
@@ -246,11 +246,10 @@
         this.#readers.expectVersions(message.versions);
         this.owners.expectRevisions(message.assignments);
         this.#lastHeartbeatAt = performance.now();
-        this.#recovery.recordHeartbeat(
-          message.versions,
-          message.lacksAssignments === true,
-          this.#lastHeartbeatAt,
-        );
+        if (message.term === this.#election.highestSeenTerm) {
+          const { versions, lacksAssignments = false } = message;
+          this.#recovery.recordHeartbeat(versions, lacksAssignments, this.#lastHeartbeatAt);
+        }
         this.#assignerStoreSilence = message.storeSilence;
         return;
       case 'report':
--- a/packages/keyOwnership/src/common/assignerElection.ts
+++ b/packages/keyOwnership/src/common/assignerElection.ts
@@ -352,17 +352,18 @@
 
   #findPrevious(known: ReadAssignerRow | undefined, recordGap: RecordGap): PreviousAssigner {
     const { self, hasEnded } = this.#options;
+    if (recordGap === 'lost-records') {
+      // Even the process that was the assigner may have been replaced without hearing of it.
+      return { kind: 'unknown' };
+    }
     if (this.#lastHeldTerm > 0 && this.#lastHeldTerm === this.#highestKnownTerm) {
       return { kind: 'self' };
     }
-    if (
-      recordGap !== 'none' ||
-      (known === undefined ? this.#highestKnownTerm > 0 : this.#isRecordLost(known))
-    ) {
-      return { kind: 'unknown' };
-    }
     if (known === undefined) {
-      return { kind: 'gone' };
+      return { kind: this.#highestKnownTerm > 0 ? 'unknown' : 'gone' };
+    }
+    if (recordGap === 'earlier-assigners' || this.#isRecordLost(known)) {
+      return { kind: 'unknown' };
     }
     const { row } = known;
     const isFormerProcess = row.id === self.id && row.incarnation !== self.incarnation;
--- a/packages/keyOwnership/src/common/previousAssigner.ts
+++ b/packages/keyOwnership/src/common/previousAssigner.ts
@@ -5,7 +5,7 @@
 export type PreviousAssigner =
   /** It sends no further commands, nor do those before it. */
   | { readonly kind: 'gone' }
-  /** This process. Those before it may still act as long as in its last term. */
+  /** This process, which has not been replaced meanwhile. Those before it may still act as long as in its last term. */
   | { readonly kind: 'self' }
   /** The one that the store named. */
   | { readonly kind: 'known'; readonly candidate: Candidate }
@@ -22,7 +22,8 @@
 
 /**
  * Time by which the commands of earlier assigners have arrived at the servers or do not arrive any more, on the monotonic
- * clock; infinite if the acknowledgements do not tell that they send no further ones. A process that acknowledges a term stops acting in all earlier ones.
+ * clock; infinite if the acknowledgements do not tell that they send no further ones. A process that acknowledges a term
+ * stops acting in all earlier ones.
  * @param acknowledgements the newest one of each process, by ID.
  * @param peerIds all other processes that can be elected.
  */
--- a/packages/keyOwnership/src/common/storeReturnRecovery.ts
+++ b/packages/keyOwnership/src/common/storeReturnRecovery.ts
@@ -80,6 +80,7 @@
     return this.#askedInEra !== undefined && this.#knowledge.hasFollowedBefore(this.#askedInEra, now);
   }
 
+  /** Must be called when this process becomes the assigner. */
   startTerm({ term, rowVersion }: HeldTerm, now: number): void {
     this.#knowledge.startTerm(term, eraOf(rowVersion), now);
   }
