--- a/review/stand-ins-3/rig.mjs
+++ b/review/stand-ins-3/rig.mjs
@@ -640,7 +640,7 @@
 }
 
 /** Sends loans one after the other on one kept connection, and notes those that its end leaves without an answer. */
-export async function keepLending(entryVm, upstreams, isOver, lost) {
+export async function keepLending(entryVm, upstreams, isOver, lost, timeLimit = 3_000) {
   const [host, port] = entryVm.front.split(':');
   const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
   let answered = 0;
@@ -656,13 +656,14 @@
         headers: {
           host: 'shop.example',
           'x-hickoryhoist-attempt-id': id,
-          'x-hickoryhoist-timeout-ms': '3000',
+          'x-hickoryhoist-timeout-ms': `${timeLimit}`,
           'content-length': 4,
         },
       });
       request.on('response', (answer) => {
         answer.resume();
-        answer.on('end', () => done('answered'));
+        const waitSeconds = Number(answer.headers['retry-after'] ?? 0);
+        answer.on('end', () => setTimeout(() => done('answered'), waitSeconds * 1_000));
         answer.on('error', () => done('cut'));
       });
       request.on('error', () => done('cut'));
